--- a/tests/support/faults.cpp
+++ b/tests/support/faults.cpp
@@ -109,7 +109,12 @@
     auto give_up_keeper(std::size_t keeper) -> void {
         const auto id = m_world.keepers[keeper].state.self;
         std::erase(m_world.live, id);
-        heal_later([id](auto& world) { world.live.push_back(id); });
+        heal_later([id, keeper](auto& world) {
+            // One that was killed meanwhile does not come back; its replacement has another identity.
+            if (!world.keepers[keeper].down) {
+                world.live.push_back(id);
+            }
+        });
     }
 
     /// Strikes process 0 of its kind, and process 2, which is in the same data centre, if that is gone
