--- a/src/libteaselcross/admission/queue.cpp
+++ b/src/libteaselcross/admission/queue.cpp
@@ -8,26 +8,31 @@
 
 constexpr auto smoothing = 0.1;
 
-auto in_flight_of(const admission_queue& state, const std::string& caller) -> std::uint32_t {
-    const auto found = state.in_flight_by_caller.find(caller);
-    return found == state.in_flight_by_caller.end() ? 0 : found->second;
-}
-
 auto service_time(const admission_queue& state) -> duration {
     return duration{static_cast<duration::rep>(state.service_us)};
 }
 
 auto start(admission_queue& state, const queued_request& request, instant now) -> void {
     state.in_flight[request.number] = {.caller = request.caller, .started = now};
-    ++state.in_flight_by_caller[request.caller];
+    auto& turn = state.turns[request.caller];
+    state.turn_floor = turn;
+    ++turn;
+}
+
+/// Whether anything of @a caller waits or is in flight.
+auto is_active(const admission_queue& state, const std::string& caller) -> bool {
+    const auto waits = std::any_of(state.waiting.begin(), state.waiting.end(),
+                                   [&](const auto& each) { return each.caller == caller; });
+    return waits || std::any_of(state.in_flight.begin(), state.in_flight.end(),
+                                [&](const auto& each) { return each.second.caller == caller; });
 }
 
-/// The waiting request to start next: the caller with the fewest in flight first, then the nearest deadline.
+/// The waiting request to start next: the caller that was served least first, then the nearest deadline.
 auto next_waiting(admission_queue& state) -> std::vector<queued_request>::iterator {
     return std::min_element(state.waiting.begin(), state.waiting.end(), [&](const auto& a, const auto& b) {
-        const auto flights_a = in_flight_of(state, a.caller);
-        const auto flights_b = in_flight_of(state, b.caller);
-        return flights_a != flights_b ? flights_a < flights_b : a.deadline < b.deadline;
+        const auto turn_a = state.turns.at(a.caller);
+        const auto turn_b = state.turns.at(b.caller);
+        return turn_a != turn_b ? turn_a < turn_b : a.deadline < b.deadline;
     });
 }
 
@@ -112,6 +117,8 @@
     if (!free_slot && state.waiting.size() >= state.queue_limit && !make_room(state, request, result)) {
         return refuse(admission_refusal::queue_full);
     }
+    auto& turn = state.turns[request.caller];
+    turn = std::max(turn, state.turn_floor);
     state.waiting.push_back(std::move(request));
     fill(state, now, result);
     return result;
@@ -124,11 +131,11 @@
         return result;
     }
     const auto latency = now - ended->second.started;
-    const auto by_caller = state.in_flight_by_caller.find(ended->second.caller);
-    if (--by_caller->second == 0) {
-        state.in_flight_by_caller.erase(by_caller);
-    }
+    const auto caller = ended->second.caller;
     state.in_flight.erase(ended);
+    if (!is_active(state, caller)) {
+        state.turns.erase(caller);
+    }
     if (good) {
         const auto sample = static_cast<double>(latency.count());
         state.service_us =
@@ -149,6 +156,9 @@
 auto on_tick(admission_queue& state, instant now) -> admission_result {
     auto result = admission_result{};
     fill(state, now, result);
+    if (state.turns.size() > state.waiting.size() + state.in_flight.size()) {
+        std::erase_if(state.turns, [&](const auto& each) { return !is_active(state, each.first); });
+    }
     return result;
 }
 
--- a/src/libteaselcross/admission/queue.h
+++ b/src/libteaselcross/admission/queue.h
@@ -54,7 +54,10 @@
     bool leaving = false; ///< The target receives no new work.
     std::vector<queued_request> waiting;
     std::map<request_number, flight> in_flight;
-    std::map<std::string, std::uint32_t> in_flight_by_caller;
+    /// Requests started for each caller that has any, counted from the floor: the least served goes first,
+    /// after start-time fair queueing (Goyal, Vin, Cheng, 1996).
+    std::map<std::string, std::uint64_t> turns;
+    std::uint64_t turn_floor = 0;
     double service_us = 0; ///< Time in the target in microseconds, smoothed; 0 before the first completion.
 };
 
--- a/src/libteaselcross/ownership/controller.cpp
+++ b/src/libteaselcross/ownership/controller.cpp
@@ -196,7 +196,10 @@
         return evidence_for(state, view, service, shard, record);
     };
     auto planned = plan_partition(current.object, slice, lookup, now);
-    state.pending.insert(state.pending.end(), planned.pending.begin(), planned.pending.end());
+    for (auto& move : planned.pending) {
+        move.waited = now - state.marks.at({service, move.shard}).confirmed.marked_at;
+        state.pending.push_back(move);
+    }
     if (!planned.changed) {
         return;
     }
--- a/src/libteaselcross/ownership/mover.h
+++ b/src/libteaselcross/ownership/mover.h
@@ -82,6 +82,7 @@
     target_id from;
     fence_number fence = 0;
     move_wait waiting = move_wait::delegation_check;
+    duration waited{}; ///< Since this controller first knew of the mark.
 };
 
 /// One change of a shard, for the audit trail and metrics.
--- a/src/teaselcross/operators/status_report.cpp
+++ b/src/teaselcross/operators/status_report.cpp
@@ -15,6 +15,7 @@
 
 constexpr auto status_timeout = duration{std::chrono::milliseconds{800}};
 constexpr auto store_concern = std::uint64_t{15'000}; ///< Milliseconds without the store worth acting on.
+constexpr auto move_concern = std::uint64_t{3'000};   ///< Milliseconds of a move worth acting on.
 constexpr auto move_names_shown = std::size_t{20};
 
 auto milliseconds(duration period) -> std::uint64_t {
@@ -83,12 +84,22 @@
         }
     }
     for (const auto& [name, shards] : status.at("shards").items()) {
-        const auto without = shards.at("unowned").get<int>() + shards.at("releasing").get<int>();
+        const auto without = shards.at("unowned").get<int>();
         if (without > 0) {
-            add_concern(concerns, "Service " + name + " has " + std::to_string(without) +
-                                      " shards without an owner that may serve them.");
+            add_concern(concerns,
+                        "Service " + name + " has " + std::to_string(without) + " shards without an owner.");
         }
     }
+    auto stuck = std::map<std::pair<std::string, std::string>, int>{};
+    for (const auto& move : status.at("moves")) {
+        if (move.at("waited_ms").get<std::uint64_t>() > move_concern) {
+            ++stuck[{move.at("from").get<std::string>(), move.at("waiting_for").get<std::string>()}];
+        }
+    }
+    for (const auto& [move, count] : stuck) {
+        add_concern(concerns, std::to_string(count) + " shards of target " + move.first +
+                                  " cannot move: they wait for " + move.second + ".");
+    }
     for (const auto& behind : status.at("config").at("behind")) {
         add_concern(concerns, "Instance " + behind.get<std::string>() + " has an older configuration.");
     }
@@ -151,6 +162,7 @@
             added->set_from(move.from.value());
             added->set_fence(move.fence);
             added->set_waiting(static_cast<std::uint32_t>(move.waiting));
+            added->set_waited_ms(milliseconds(move.waited));
         }
     }
     for (const auto& order : node.local_orders) {
@@ -224,6 +236,7 @@
                  {"shard", move.shard()},
                  {"from", move.from()},
                  {"fence", move.fence()},
+                 {"waited_ms", move.waited_ms()},
                  {"waiting_for", name_in(move_wait_names, static_cast<move_wait>(move.waiting()))}});
         }
         for (const auto& order : each.local_orders()) {
--- a/src/teaselcross/runtime/duty.cpp
+++ b/src/teaselcross/runtime/duty.cpp
@@ -33,7 +33,7 @@
 auto duty::offer(task& work) -> bool {
     {
         const auto lock = std::scoped_lock{m_producers};
-        if (!m_ring.push(std::move(work))) {
+        if (!m_ring.push(work)) {
             m_full.fetch_add(1, std::memory_order_relaxed);
             return false;
         }
