Shorten the suspicion of a silent instance to half a second

Change: 0.5 s. Wrong suspicions are refuted by the suspect itself, and nothing moves on suspicion alone.

--- a/src/libteaselcross/membership/detector.h
+++ b/src/libteaselcross/membership/detector.h
@@ -18,7 +18,7 @@
 struct detector_options {
     duration probe_period = std::chrono::milliseconds{400};
     duration direct_timeout = std::chrono::milliseconds{120};
-    duration suspicion = std::chrono::milliseconds{800};
+    duration suspicion = std::chrono::milliseconds{500};
     duration dead_probe_period = std::chrono::seconds{2}; ///< Unreachable members are tried this often.
     duration refresh = std::chrono::seconds{1};           ///< A changed config version waits so long at most.
     std::uint32_t helpers = 2;                            ///< Members asked for an indirect probe.
