--- a/src/teaselcross/control/controller_loop.cpp
+++ b/src/teaselcross/control/controller_loop.cpp
@@ -207,69 +207,68 @@
     }
 }
 
-auto controller_loop::write_partition(const partition_write& write) -> void {
+auto controller_loop::write_object(const std::string& key, std::uint64_t expected_version, std::string value,
+                                   const std::function<void(const store_reply&)>& done) -> bool {
     auto call = store_call{};
-    call.kind = write.expected_version == 0 ? store_call_kind::create : store_call_kind::update;
-    call.key = object_keys::partition(write.key.first, write.key.second);
-    call.value = to_json(write.next).dump();
-    call.expected_version = write.expected_version;
+    call.kind = expected_version == 0 ? store_call_kind::create : store_call_kind::update;
+    call.key = key;
+    call.value = value;
+    call.expected_version = expected_version;
+    return m_node.store.call(std::move(call), m_node.control,
+                             [this, key, value = std::move(value), done](const store_reply& reply) {
+                                 m_plan_due = true;
+                                 done(reply);
+                                 if (reply.status == store_status::ok) {
+                                     const auto object =
+                                         store_object{.key = key, .version = reply.version, .value = value};
+                                     teaselcross::on_mirror_changed(m_node, m_node.mirror.apply({object}));
+                                 } else {
+                                     // A conflict, or a write that may have taken effect: what the store has
+                                     // decides.
+                                     read_back(key);
+                                 }
+                             });
+}
+
+auto controller_loop::write_partition(const partition_write& write) -> void {
     m_busy.insert(write.key);
-    const auto object_key = call.key;
-    const auto value = call.value;
-    const auto taken = m_node.store.call(
-        std::move(call), m_node.control, [this, write, object_key, value](const store_reply& reply) {
-            m_busy.erase(write.key);
-            m_plan_due = true;
-            if (reply.status != store_status::ok) {
-                log::warning("assignment_refused", {{"key", object_key},
-                                                    {"status", name_in(store_status_names, reply.status)},
-                                                    {"token", write.next.writer_token}});
-                read_back(object_key);
-                return;
-            }
-            if (!write.assigned.empty()) {
-                log::info("assigned", {{"key", object_key},
-                                       {"version", reply.version},
-                                       {"count", write.assigned.size()},
-                                       {"moves", describe(write.assigned)}});
-            }
-            if (!write.marked.empty()) {
-                log::info("releasing", {{"key", object_key},
-                                        {"version", reply.version},
-                                        {"count", write.marked.size()},
-                                        {"moves", describe(write.marked)}});
-            }
-            m_node.measured.count(counter::shards_assigned, write.assigned.size());
-            m_node.measured.count(counter::shards_released, write.marked.size());
-            const auto object = store_object{.key = object_key, .version = reply.version, .value = value};
-            teaselcross::on_mirror_changed(m_node, m_node.mirror.apply({object}));
-        });
+    const auto key = object_keys::partition(write.key.first, write.key.second);
+    const auto taken = write_object(key, write.expected_version, to_json(write.next).dump(),
+                                    [this, write, key](const store_reply& reply) {
+                                        m_busy.erase(write.key);
+                                        log_partition_write(key, write, reply);
+                                    });
     if (!taken) {
         m_busy.erase(write.key);
     }
 }
 
+auto controller_loop::log_partition_write(const std::string& key, const partition_write& write,
+                                          const store_reply& reply) -> void {
+    if (reply.status != store_status::ok) {
+        log::warning("assignment_refused", {{"key", key},
+                                            {"status", name_in(store_status_names, reply.status)},
+                                            {"token", write.next.writer_token}});
+        return;
+    }
+    const auto log_moves = [&](const char* event, const std::vector<completed_move>& moves) {
+        if (!moves.empty()) {
+            log::info(event, {{"key", key},
+                              {"version", reply.version},
+                              {"count", moves.size()},
+                              {"moves", describe(moves)}});
+        }
+    };
+    log_moves("assigned", write.assigned);
+    log_moves("releasing", write.marked);
+    m_node.measured.count(counter::shards_assigned, write.assigned.size());
+    m_node.measured.count(counter::shards_released, write.marked.size());
+}
+
 auto controller_loop::write_delegations(const delegation_write& write) -> void {
-    auto call = store_call{};
-    call.kind = write.expected_version == 0 ? store_call_kind::create : store_call_kind::update;
-    call.key = object_keys::delegations(m_node.options.data_centre);
-    call.value = to_json(write.next).dump();
-    call.expected_version = write.expected_version;
-    m_delegations_busy = true;
-    const auto object_key = call.key;
-    const auto value = call.value;
-    const auto taken = m_node.store.call(
-        std::move(call), m_node.control, [this, object_key, value](const store_reply& reply) {
-            m_delegations_busy = false;
-            m_plan_due = true;
-            if (reply.status != store_status::ok) {
-                read_back(object_key);
-                return;
-            }
-            const auto object = store_object{.key = object_key, .version = reply.version, .value = value};
-            teaselcross::on_mirror_changed(m_node, m_node.mirror.apply({object}));
-        });
-    m_delegations_busy = taken;
+    m_delegations_busy =
+        write_object(object_keys::delegations(m_node.options.data_centre), write.expected_version,
+                     to_json(write.next).dump(), [this](const store_reply&) { m_delegations_busy = false; });
 }
 
 auto controller_loop::check_delegations(const data_centre_id& data_centre) -> void {
--- a/src/teaselcross/control/controller_loop.h
+++ b/src/teaselcross/control/controller_loop.h
@@ -29,7 +29,12 @@
     auto write_lease(const lease_write& write) -> void;
     auto take_over(std::uint64_t epoch) -> void;
     auto plan_now(instant now) -> void;
+    /// A conditional write; its outcome reaches the mirror. False when the store's ring is full.
+    auto write_object(const std::string& key, std::uint64_t expected_version, std::string value,
+                      const std::function<void(const store_reply&)>& done) -> bool;
     auto write_partition(const partition_write& write) -> void;
+    auto log_partition_write(const std::string& key, const partition_write& write, const store_reply& reply)
+        -> void;
     auto write_delegations(const delegation_write& write) -> void;
     auto check_delegations(const data_centre_id& data_centre) -> void;
     auto read_back(const std::string& key) -> void;
--- a/src/teaselcross/control/node.cpp
+++ b/src/teaselcross/control/node.cpp
@@ -26,15 +26,13 @@
     publish_routing(node);
 }
 
-auto publish_routing(node& node) -> void {
+auto make_routing(const node& node) -> std::shared_ptr<const routing> {
     if (!node.mirror.description()) {
-        return;
+        return nullptr;
     }
     auto routes = std::make_shared<routing>();
     routes->config = node.mirror.description();
-    for (const auto& [key, held] : node.mirror.shared_partitions()) {
-        routes->partitions.emplace(key, held);
-    }
+    routes->partitions = node.mirror.shared_partitions();
     for (const auto& [data_centre, table] : node.mirror.delegations()) {
         routes->delegations.insert(table.object.targets.begin(), table.object.targets.end());
     }
@@ -46,7 +44,13 @@
     }
     routes->instances.emplace(detector.self.id, detector.self);
     routes->local_draining = node.local_draining;
-    node.forwarding->publish(std::move(routes));
+    return routes;
+}
+
+auto publish_routing(node& node) -> void {
+    if (auto routes = make_routing(node)) {
+        node.forwarding->publish(std::move(routes));
+    }
 }
 
 auto take_local_order(node& node, const wire::LocalOrder& order) -> void {
--- a/src/teaselcross/control/node.h
+++ b/src/teaselcross/control/node.h
@@ -46,6 +46,9 @@
 /// The objects of the mirror have changed: all parts look at them again.
 auto on_mirror_changed(node& node, const object_mirror::changes& changed) -> void;
 
+/// What entries need to find owners, as this instance knows it; null before a configuration is known.
+auto make_routing(const node& node) -> std::shared_ptr<const routing>;
+
 /// Something that routes depend on has changed: the forward thread gets a new routing.
 auto publish_routing(node& node) -> void;
 
--- a/src/teaselcross/operators/operator_api.cpp
+++ b/src/teaselcross/operators/operator_api.cpp
@@ -169,25 +169,18 @@
 }
 
 auto operator_api::explain(const std::string& service, const std::string& key) const -> nlohmann::json {
-    auto routes = routing{};
-    if (!m_node.mirror.description()) {
+    const auto routes = make_routing(m_node);
+    if (!routes) {
         return {{"why", "No configuration is known here."}};
     }
-    routes.config = m_node.mirror.description();
-    for (const auto& [id, held] : m_node.mirror.shared_partitions()) {
-        routes.partitions.emplace(id, held);
-    }
-    for (const auto& [data_centre, table] : m_node.mirror.delegations()) {
-        routes.delegations.insert(table.object.targets.begin(), table.object.targets.end());
-    }
-    const auto found = routes.config->services.find(service_id{service});
-    if (found == routes.config->services.end()) {
+    const auto found = routes->config->services.find(service_id{service});
+    if (found == routes->config->services.end()) {
         return {{"why", "There is no service '" + service + "'."}};
     }
     if (!found->second.keyed()) {
         return {{"why", "The service has no keys: each request goes to the better of two targets."}};
     }
-    const auto route = route_key(routes, service_id{service}, key);
+    const auto route = route_key(*routes, service_id{service}, key);
     if (!route) {
         return {{"why", "The assignment of the key's shard is not known here."}};
     }
@@ -197,8 +190,8 @@
                                  {"state", name_in(shard_state_names, route->state)},
                                  {"owner", route->target.value()},
                                  {"fence", route->fence}};
-    const auto delegated = routes.delegations.find(route->target);
-    if (delegated != routes.delegations.end()) {
+    const auto delegated = routes->delegations.find(route->target);
+    if (delegated != routes->delegations.end()) {
         const auto& keeper = delegated->second.keeper;
         answer["keeper"] = keeper.value();
         answer["epoch"] = delegated->second.epoch;
