Raise a cold target by what its operators say it needs

Change: warm_up_requests (32 by default) good answers for each step; a broken connection sends a target back to cold.

--- a/src/libteaselcross/admission/warmth.cpp
+++ b/src/libteaselcross/admission/warmth.cpp
@@ -15,7 +15,7 @@
 }
 
 auto consider_raise(warmth& state, instant now) -> void {
-    const auto enough = state.good >= state.options.step_completions * state.limit;
+    const auto enough = state.good >= state.options.step_completions;
     if (state.limit < state.options.slots && enough && now - state.limit_since >= state.options.step_time) {
         ++state.limit;
         state.limit_since = now;
--- a/src/libteaselcross/admission/warmth.h
+++ b/src/libteaselcross/admission/warmth.h
@@ -14,7 +14,7 @@
     std::uint32_t slots = 1;                             ///< In flight when warm.
     std::uint32_t cold_slots = 1;                        ///< In flight right after a start.
     duration step_time = std::chrono::milliseconds{500}; ///< The least time at one limit before the next.
-    std::uint32_t step_completions = 4;                  ///< Good completions per slot before the next limit.
+    std::uint32_t step_completions = 32;                 ///< Good completions at one limit before the next.
     double slow_factor = 4.0;      ///< A completion this much slower than usual is evidence of trouble.
     std::uint32_t slow_streak = 3; ///< Slow or failed completions in a row that send the target back to cold.
 };
--- a/src/libteaselcross/config/description.cpp
+++ b/src/libteaselcross/config/description.cpp
@@ -50,6 +50,7 @@
     target.port = object.at("port").get<std::uint16_t>();
     target.slots = object.at("slots").get<std::uint32_t>();
     target.cold_slots = object.value("cold_slots", target.cold_slots);
+    target.warm_up_requests = object.value("warm_up_requests", target.warm_up_requests);
     target.connections = object.value("connections", target.connections);
     target.checks_fence = object.value("checks_fence", target.checks_fence);
     target.state = read_enum(object, "state", target_state_names, target.state);
--- a/src/libteaselcross/config/description.h
+++ b/src/libteaselcross/config/description.h
@@ -54,8 +54,9 @@
     data_centre_id data_centre;
     std::string host; ///< An IP number.
     std::uint16_t port = 0;
-    std::uint32_t slots = 1;      ///< Requests in flight when warm.
-    std::uint32_t cold_slots = 1; ///< Requests in flight right after a start.
+    std::uint32_t slots = 1;             ///< Requests in flight when warm.
+    std::uint32_t cold_slots = 1;        ///< Requests in flight right after a start.
+    std::uint32_t warm_up_requests = 32; ///< Good answers after which a cold target bears one request more.
     std::uint32_t connections = 130;
     bool checks_fence = false; ///< The target refuses orders under an old fence or an ended term.
     target_state state = target_state::in;
--- a/src/libteaselcross/config/description_schema.h
+++ b/src/libteaselcross/config/description_schema.h
@@ -48,6 +48,7 @@
           "port": {"type": "integer", "minimum": 1, "maximum": 65535},
           "slots": {"type": "integer", "minimum": 1, "maximum": 10000},
           "cold_slots": {"type": "integer", "minimum": 1},
+          "warm_up_requests": {"type": "integer", "minimum": 0, "maximum": 1000000},
           "connections": {"type": "integer", "minimum": 1, "maximum": 10000},
           "checks_fence": {"type": "boolean"},
           "state": {"enum": ["in", "draining", "lost"]}
--- a/src/teaselcross/control/keeper_loop.cpp
+++ b/src/teaselcross/control/keeper_loop.cpp
@@ -366,6 +366,7 @@
                   .leaving = !config.in_service(described->second) || m_node.local_draining.contains(id),
                   .slots = described->second.slots,
                   .cold_slots = described->second.cold_slots,
+                  .warm_up_requests = described->second.warm_up_requests,
                   .operations_since = state.operations_since};
     if (service != config.services.end()) {
         view.queue_limit = service->second.queue_limit;
--- a/src/teaselcross/keeper/keeper_service.cpp
+++ b/src/teaselcross/keeper/keeper_service.cpp
@@ -200,6 +200,7 @@
     auto answer = co_await begin_exchange(m_pool, view.address, std::move(message), limits);
     m_measured.time(timing::target, monotonic_now() - now);
     if (!answer) {
+        request.gate->suspect_restart(monotonic_now());
         m_trouble(target);
         co_return tl::unexpected(answer.error());
     }
--- a/src/teaselcross/keeper/kept_view.h
+++ b/src/teaselcross/keeper/kept_view.h
@@ -24,6 +24,7 @@
     bool leaving = false;    ///< Operators want no new work there.
     std::uint32_t slots = 1;
     std::uint32_t cold_slots = 1;
+    std::uint32_t warm_up_requests = 32;
     std::uint32_t queue_limit = 64;
     bool durable_intents = true;
     wall_time operations_since{};
--- a/src/teaselcross/keeper/target_gate.cpp
+++ b/src/teaselcross/keeper/target_gate.cpp
@@ -15,7 +15,7 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
 auto warmth_of(const kept_view& view) -> warmth_options {
-    return {.slots = view.slots, .cold_slots = view.cold_slots};
+    return {.slots = view.slots, .cold_slots = view.cold_slots, .step_completions = view.warm_up_requests};
 }
 
 } // namespace
@@ -45,6 +45,7 @@
     m_view.incarnation = incarnation;
     m_queue.warm.options.slots = view.slots;
     m_queue.warm.options.cold_slots = view.cold_slots;
+    m_queue.warm.options.step_completions = view.warm_up_requests;
     m_queue.warm.limit = std::min(m_queue.warm.limit, view.slots);
     m_queue.queue_limit = view.queue_limit;
     m_operations.durable_intents = view.durable_intents;
@@ -120,6 +121,14 @@
     }
 }
 
+auto target_gate::suspect_restart(instant now) -> void {
+    if (m_queue.warm.limit > m_queue.warm.options.cold_slots) {
+        cool(m_queue.warm, cooling::failures, now);
+        m_measured.count(counter::target_coolings);
+        log::info("target_cooled", {{"target", m_view.target}, {"why", "connection_lost"}});
+    }
+}
+
 auto target_gate::tick(instant now) -> void {
     apply(on_tick(m_queue, now));
 }
--- a/src/teaselcross/keeper/target_gate.h
+++ b/src/teaselcross/keeper/target_gate.h
@@ -48,6 +48,9 @@
     /// The request has left the target.
     auto finish(const admitted_request& request, bool good, instant now) -> void;
 
+    /// A connection to the target broke: its process may be a new one, which bears little.
+    auto suspect_restart(instant now) -> void;
+
     /// Refuses what has waited too long.
     auto tick(instant now) -> void;
 
