--- a/src/libteaselcross/ownership/lease.cpp
+++ b/src/libteaselcross/ownership/lease.cpp
@@ -9,8 +9,9 @@
     return with_drift(options.term, options.drift_ppm) + options.margin;
 }
 
-auto may_take(const lease_candidate& state, bool eager, instant now) -> bool {
-    const auto free = !state.seen || state.seen->holder.empty() || state.seen->holder == state.self;
+auto may_take(const lease_candidate& state, bool eager, bool holder_gone, instant now) -> bool {
+    const auto free =
+        holder_gone || !state.seen || state.seen->holder.empty() || state.seen->holder == state.self;
     const auto lapsed_at =
         free ? state.unchanged_since : state.unchanged_since + takeover_wait(state.options);
     return now >= (eager ? lapsed_at : lapsed_at + state.options.term);
@@ -48,7 +49,8 @@
     }
 }
 
-auto next_lease_write(lease_candidate& state, bool eager, instant now) -> std::optional<lease_write> {
+auto next_lease_write(lease_candidate& state, bool eager, bool holder_gone, instant now)
+    -> std::optional<lease_write> {
     if (!state.read || state.write_pending || now < state.next_write) {
         return std::nullopt;
     }
@@ -57,7 +59,7 @@
         ++renewed.renewals;
         return begin_write(state, renewed, now);
     }
-    if (!may_take(state, eager, now)) {
+    if (!may_take(state, eager, holder_gone, now)) {
         return std::nullopt;
     }
     const auto epoch = state.seen ? state.seen->epoch + 1 : 1;
--- a/src/libteaselcross/ownership/lease.h
+++ b/src/libteaselcross/ownership/lease.h
@@ -58,8 +58,10 @@
                    instant now) -> void;
 
 /// The write to start at @a now, if any. @a eager candidates take a free or lapsed lease at once, the others
-/// leave it to them for one more term.
-auto next_lease_write(lease_candidate& state, bool eager, instant now) -> std::optional<lease_write>;
+/// leave it to them for one more term. @a holder_gone: the holder is believed dead, so its term need not be
+/// waited for; a holder that is not dead merely loses the lease, because nothing rests on it.
+auto next_lease_write(lease_candidate& state, bool eager, bool holder_gone, instant now)
+    -> std::optional<lease_write>;
 
 /// The pending write took effect as @a version.
 auto on_lease_written(lease_candidate& state, const lease_object& object, std::uint64_t version, instant now)
--- a/src/teaselcross/control/controller_loop.cpp
+++ b/src/teaselcross/control/controller_loop.cpp
@@ -54,7 +54,9 @@
         }
         const auto live = live_members(m_node.membership->state(), m_node.options.data_centre);
         const auto eager = !live.empty() && *std::min_element(live.begin(), live.end()) == m_node.self;
-        if (const auto write = next_lease_write(m_lease, eager || live.size() <= 2, now)) {
+        const auto* const holder = m_lease.seen ? m_node.membership->find(m_lease.seen->holder) : nullptr;
+        const auto holder_gone = holder != nullptr && holder->state >= member_state::dead;
+        if (const auto write = next_lease_write(m_lease, eager || live.size() <= 2, holder_gone, now)) {
             write_lease(*write);
         }
     }
--- /dev/null
+++ b/tests/ownership/lease_test.cpp
@@ -0,0 +1,73 @@
+// The controllers' lease: one holder at a time by its own clock, and a successor after its end.
+
+#include "ownership/lease.h"
+
+#include <gtest/gtest.h>
+
+namespace teaselcross::test {
+
+namespace {
+
+constexpr auto start = instant{std::chrono::seconds{10}};
+
+auto candidate(const std::string& name) -> lease_candidate {
+    auto state = lease_candidate{};
+    state.self = instance_id{name};
+    return state;
+}
+
+/// A candidate that has taken the free lease at the start.
+auto holder() -> lease_candidate {
+    auto state = candidate("a");
+    on_lease_read(state, std::nullopt, 0, start);
+    const auto write = next_lease_write(state, true, false, start);
+    on_lease_written(state, write->object, 1, start);
+    return state;
+}
+
+} // namespace
+
+TEST(lease, a_free_one_is_taken_and_held_for_its_term) {
+    const auto state = holder();
+    EXPECT_TRUE(holds_lease(state, start + std::chrono::milliseconds{1900}));
+    EXPECT_FALSE(holds_lease(state, start + std::chrono::milliseconds{2000}));
+}
+
+TEST(lease, another_takes_it_only_after_the_holder_has_lost_it) {
+    const auto first = holder();
+    auto second = candidate("b");
+    on_lease_read(second, first.seen, 1, start);
+    EXPECT_FALSE(next_lease_write(second, true, false, start + std::chrono::milliseconds{2000}));
+    const auto write = next_lease_write(second, true, false, start + std::chrono::milliseconds{2200});
+    ASSERT_TRUE(write);
+    EXPECT_EQ(write->object.epoch, 2U);
+    EXPECT_FALSE(holds_lease(first, start + std::chrono::milliseconds{2200}));
+}
+
+TEST(lease, a_renewal_restarts_the_wait) {
+    const auto first = holder();
+    auto second = candidate("b");
+    on_lease_read(second, first.seen, 1, start);
+    auto renewed = *first.seen;
+    ++renewed.renewals;
+    on_lease_read(second, renewed, 2, start + std::chrono::milliseconds{1500});
+    EXPECT_FALSE(next_lease_write(second, true, false, start + std::chrono::milliseconds{3000}));
+}
+
+TEST(lease, a_dead_holders_term_is_not_waited_for) {
+    const auto first = holder();
+    auto second = candidate("b");
+    on_lease_read(second, first.seen, 1, start);
+    EXPECT_TRUE(next_lease_write(second, true, true, start + std::chrono::milliseconds{300}));
+}
+
+TEST(lease, a_write_whose_fate_is_unknown_holds_nothing) {
+    auto state = candidate("a");
+    on_lease_read(state, std::nullopt, 0, start);
+    static_cast<void>(next_lease_write(state, true, false, start));
+    on_lease_write_failed(state, start);
+    EXPECT_FALSE(holds_lease(state, start));
+    EXPECT_FALSE(next_lease_write(state, true, false, start + std::chrono::seconds{1}));
+}
+
+} // namespace teaselcross::test
