--- a/src/libteaselcross/ownership/controller.cpp
+++ b/src/libteaselcross/ownership/controller.cpp
@@ -127,7 +127,7 @@
 /// The owners wanted for all shards of a service; moves for balance are limited.
 auto wanted_owners(controller& state, const controller_view& view, const service_id& service,
                    std::uint32_t shard_count, instant now) -> std::vector<target_id> {
-    const auto owners = owners_of(view, service, shard_count);
+    auto owners = owners_of(view, service, shard_count);
     if (awaits_targets(state, view, service, owners, now)) {
         return owners;
     }
