Remove state that nothing reads

Cause: reading the whole change again found two fields that are written or declared and never read. Change: the upkeep's suspended_since and the mirror's version of the configuration object are gone.

--- a/src/teaselcross/control/keeper_loop.h
+++ b/src/teaselcross/control/keeper_loop.h
@@ -40,7 +40,6 @@
         instant next_handover{};
         std::string last_report; ///< As last sent.
         instant next_report{};
-        instant suspended_since{};
     };
 
     auto tick() -> void;
--- a/src/teaselcross/control/object_mirror.cpp
+++ b/src/teaselcross/control/object_mirror.cpp
@@ -53,7 +53,6 @@
         parsed->version = whole.version;
         m_description = std::make_shared<const teaselcross::description>(std::move(*parsed));
         m_config = std::make_shared<const configuration>(std::move(whole));
-        m_config_object_version = object.version;
         changed.config = true;
     } else if (key.starts_with(object_keys::partition_prefix)) {
         auto whole = partition_from_json(document);
--- a/src/teaselcross/control/object_mirror.h
+++ b/src/teaselcross/control/object_mirror.h
@@ -46,7 +46,6 @@
     auto description() const -> const std::shared_ptr<const teaselcross::description>& {
         return m_description;
     }
-    auto config_object_version() const -> std::uint64_t { return m_config_object_version; }
     auto partitions() const -> const std::map<partition_key, versioned<partition>>& { return m_partitions; }
     /// The same partitions, to be shared with other threads.
     auto shared_partitions() const -> const std::map<partition_key, std::shared_ptr<const partition>>& {
@@ -72,7 +71,6 @@
 
     std::shared_ptr<const configuration> m_config;
     std::shared_ptr<const teaselcross::description> m_description;
-    std::uint64_t m_config_object_version = 0;
     std::map<partition_key, versioned<partition>> m_partitions;
     std::map<partition_key, std::shared_ptr<const partition>> m_shared_partitions;
     std::map<data_centre_id, versioned<delegation_table>> m_delegations;
