--- /dev/null
+++ b/src/libteaselcross/admission/target_view.cpp
@@ -0,0 +1,140 @@
+#include "admission/target_view.h"
+
+#include "core/rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselcross {
+
+namespace {
+
+/// The part of a report that still holds; it fades with its age.
+auto freshness(const target_view& view, const view_options& options, instant now) -> double {
+    const auto age = static_cast<double>((now - view.reported).count());
+    return std::exp(-age / static_cast<double>(options.report_life.count()));
+}
+
+auto service_time(const target_view& view, const view_options& options, double fresh) -> double {
+    const auto base =
+        view.service_us > 0 ? view.service_us : static_cast<double>(options.usual_service.count());
+    return base * (1.0 + (view.slowness - 1.0) * fresh);
+}
+
+auto may_get_request(const target_view& view, const choice_context& context, instant now) -> bool {
+    if (view.listed.leaving || now < view.avoid_until) {
+        return false;
+    }
+    return std::find(context.tried.begin(), context.tried.end(), view.listed.id) == context.tried.end();
+}
+
+auto cost(const target_view& view, const choice_context& context, instant now) -> double {
+    constexpr auto error_penalty = 4.0; // A failed answer costs the caller a second try and most of its time.
+    auto finish = static_cast<double>(expected_finish(view, context.view, now).count());
+    finish *= 1.0 + error_penalty * view.error_rate;
+    if (view.listed.data_centre != context.own) {
+        finish += static_cast<double>(context.distance_cost.count());
+    }
+    return finish;
+}
+
+} // namespace
+
+auto expected_finish(const target_view& view, const view_options& options, instant now) -> duration {
+    const auto fresh = freshness(view, options, now);
+    const auto service = service_time(view, options, fresh);
+    const auto slots = std::max(1U, view.listed.slots);
+    const auto ahead = view.in_flight + view.others * fresh;
+    // Slots that are partly taken already make the next request slower on average, before any queue forms.
+    const auto load = ahead / slots;
+    const auto queued = std::max(0.0, ahead + 1.0 - slots) / slots;
+    return duration{static_cast<duration::rep>(service * (1.0 + queued + 0.25 * std::min(load, 1.0)))};
+}
+
+auto is_cold(const target_view& view, instant now) -> bool {
+    return now < view.cold_until;
+}
+
+auto has_cold_credit(const target_view& view, const cold_share& share, instant now) -> bool {
+    const auto seconds = std::chrono::duration<double>(now - view.cold_refilled).count();
+    return std::min(share.burst, view.cold_credit + share.rate * seconds) >= 1.0;
+}
+
+auto take_cold_credit(target_view& view, const cold_share& share, instant now) -> bool {
+    if (!has_cold_credit(view, share, now)) {
+        return false;
+    }
+    const auto seconds = std::chrono::duration<double>(now - view.cold_refilled).count();
+    view.cold_credit = std::min(share.burst, view.cold_credit + share.rate * seconds) - 1.0;
+    view.cold_refilled = now;
+    return true;
+}
+
+auto mark_cold(target_view& view, duration period, instant now) -> void {
+    if (!is_cold(view, now)) {
+        view.cold_credit = 0;
+        view.cold_refilled = now;
+    }
+    view.cold_until = std::max(view.cold_until, now + period);
+}
+
+auto on_sent(target_view& view) -> void {
+    ++view.in_flight;
+}
+
+auto on_ended(target_view& view, send_result result, duration latency, const view_options& options, instant now)
+    -> void {
+    view.in_flight -= std::min(view.in_flight, 1U);
+    if (result == send_result::withdrawn) {
+        return;
+    }
+    if (result == send_result::silent) {
+        const auto doublings = std::min(view.failures, 3U);
+        view.avoid_until = now + std::min(options.first_pause * (1U << doublings), options.longest_pause);
+        ++view.failures;
+        return;
+    }
+    view.failures = 0;
+    view.avoid_until = {};
+    const auto failed = result == send_result::failed ? 1.0 : 0.0;
+    view.error_rate += (failed - view.error_rate) * options.smoothing;
+    if (result != send_result::answered) {
+        return;
+    }
+    ++view.answered;
+    const auto slots = std::max(1U, view.listed.slots);
+    const auto ahead = static_cast<double>(view.in_flight + view.others);
+    const auto turns = 1.0 + std::max(0.0, ahead + 1.0 - slots) / slots;
+    const auto sample = static_cast<double>(latency.count()) / turns;
+    view.service_us = view.service_us > 0 ? view.service_us + (sample - view.service_us) * options.smoothing
+                                          : sample;
+}
+
+auto on_report(target_view& view, const load_report& report, instant now) -> void {
+    const auto all = report.running + report.waiting;
+    view.others = all > view.in_flight ? all - view.in_flight : 0;
+    view.slowness = std::max(report.slowness, 0.1);
+    view.reported = now;
+}
+
+auto choose_view(const std::vector<target_view*>& targets, const choice_context& context,
+                 std::uint64_t tie_break, instant now) -> target_view* {
+    constexpr auto jitter = 0.12; // Instances that see the same reports must not all pick the same target.
+    target_view* best = nullptr;
+    auto least = 0.0;
+    for (auto* candidate : targets) {
+        if (!may_get_request(*candidate, context, now)) {
+            continue;
+        }
+        const auto weight = rendezvous_weight(tie_break, candidate->listed.id.value());
+        const auto spread = 1.0 + jitter * static_cast<double>(weight >> 11U) / static_cast<double>(1ULL << 53U);
+        const auto price = cost(*candidate, context, now) * spread;
+        if (best == nullptr || price < least) {
+            best = candidate;
+            least = price;
+        }
+    }
+    return best;
+}
+
+} // namespace teaselcross
--- /dev/null
+++ b/src/libteaselcross/balance/range_balance.cpp
@@ -0,0 +1,192 @@
+#include "balance/range_balance.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace teaselcross {
+
+namespace {
+
+/// A range with its load, while moves are planned on it.
+struct piece {
+    shard_key first = 0;
+    shard_key last = 0;
+    target_id holder;
+    double load = 0;
+    bool fixed = false; ///< Moves already, or was just planned to.
+};
+
+struct plan {
+    std::vector<piece> pieces;
+    std::map<target_id, double> loads;
+};
+
+auto make_plan(const range_grantor& state, const key_rates& rates) -> plan {
+    auto made = plan{};
+    for (const auto& [id, holder] : state.holders) {
+        if (!holder.leaving) {
+            made.loads[id] = 0;
+        }
+    }
+    const auto loads = range_loads(state.map, rates);
+    for (std::size_t index = 0; index < state.map.ranges.size(); ++index) {
+        const auto& range = state.map.ranges[index];
+        const auto& holder = range.moving() ? range.next.id : range.holder.id;
+        made.pieces.push_back({.first = range.first,
+                               .last = range.last,
+                               .holder = holder,
+                               .load = loads[index],
+                               .fixed = range.moving() || !is_served(state, index)});
+        made.loads[holder] += loads[index];
+    }
+    return made;
+}
+
+auto relative_load(const range_grantor& state, const plan& made, const target_id& id) -> double {
+    const auto holder = state.holders.find(id);
+    const auto load = made.loads.find(id);
+    if (holder == state.holders.end() || load == made.loads.end()) {
+        return 0;
+    }
+    return load->second / std::max(holder->second.weight, 1e-6);
+}
+
+auto holds_nothing(const plan& made, const target_id& id) -> bool {
+    return std::none_of(made.pieces.begin(), made.pieces.end(),
+                        [&id](const auto& each) { return each.holder == id; });
+}
+
+/// The eligible holder with the least relative load; one without keys goes first.
+auto coolest(const range_grantor& state, const plan& made) -> const key_holder* {
+    const key_holder* best = nullptr;
+    auto least = 0.0;
+    for (const auto& [id, holder] : state.holders) {
+        const auto answers = state.answers.find(id);
+        const auto silent = answers != state.answers.end() && answers->second.failures > 0;
+        if (!holder.eligible || holder.leaving || silent) {
+            continue;
+        }
+        const auto load = holds_nothing(made, id) ? -1.0 : relative_load(state, made, id);
+        if (best == nullptr || load < least) {
+            best = &holder;
+            least = load;
+        }
+    }
+    return best;
+}
+
+/// The movable piece with the most load at the holder with the most relative load.
+auto hottest(const range_grantor& state, plan& made) -> piece* {
+    piece* best = nullptr;
+    auto most = 0.0;
+    for (auto& each : made.pieces) {
+        if (each.fixed) {
+            continue;
+        }
+        const auto load = relative_load(state, made, each.holder);
+        const auto better = best == nullptr || load > most || (load == most && each.load > best->load);
+        if (better) {
+            best = &each;
+            most = load;
+        }
+    }
+    return best;
+}
+
+/// The longest run of keys from one end of @a from whose load does not exceed @a wanted, never the whole piece.
+auto cut_end(const piece& from, const key_rates& rates, double wanted, bool front) -> std::pair<shard_key, double> {
+    auto keys = shard_key{0};
+    auto load = 0.0;
+    const auto most = from.last - from.first;
+    while (keys < most) {
+        const auto next = rates.rate[front ? from.first + keys : from.last - keys];
+        if (load + next > wanted) {
+            break;
+        }
+        load += next;
+        ++keys;
+    }
+    return {keys, load};
+}
+
+} // namespace
+
+auto fade(key_rates& rates, const balance_options& options, instant now) -> void {
+    const auto passed = static_cast<double>((now - rates.updated).count());
+    const auto factor = static_cast<float>(std::exp(-passed / static_cast<double>(options.memory.count())));
+    for (auto& rate : rates.rate) {
+        rate *= factor;
+    }
+    rates.updated = now;
+}
+
+auto add_requests(key_rates& rates, const balance_options& options, shard_key key, std::uint32_t count) -> void {
+    if (key > last_shard_key) {
+        return;
+    }
+    const auto memory = std::chrono::duration<float>(options.memory).count();
+    rates.rate[key] += static_cast<float>(count) / memory;
+}
+
+auto range_loads(const key_map& map, const key_rates& rates) -> std::vector<double> {
+    auto loads = std::vector<double>{};
+    loads.reserve(map.ranges.size());
+    for (const auto& range : map.ranges) {
+        const auto begin = rates.rate.begin() + static_cast<std::ptrdiff_t>(range.first);
+        const auto end = rates.rate.begin() + static_cast<std::ptrdiff_t>(range.last) + 1;
+        loads.push_back(std::accumulate(begin, end, 0.0));
+    }
+    return loads;
+}
+
+auto plan_moves(const range_grantor& state, const key_rates& rates, const balance_options& options)
+    -> std::vector<planned_move> {
+    auto moves = std::vector<planned_move>{};
+    auto made = make_plan(state, rates);
+    const auto most_ranges = options.ranges_per_holder * std::max<std::size_t>(state.holders.size(), 1);
+    while (moves.size() < options.moves_at_once && made.pieces.size() < most_ranges) {
+        auto* from = hottest(state, made);
+        const auto* to = coolest(state, made);
+        if (from == nullptr || to == nullptr || from->holder == to->life.id || from->last == from->first) {
+            break;
+        }
+        const auto empty = holds_nothing(made, to->life.id);
+        const auto high = relative_load(state, made, from->holder);
+        const auto low = relative_load(state, made, to->life.id);
+        if (!empty && (high < options.overload || high - low < options.least_gain)) {
+            break;
+        }
+        const auto weight_from = std::max(state.holders.contains(from->holder) ? state.holders.at(from->holder).weight : 1.0, 1e-6);
+        const auto weight_to = std::max(to->weight, 1e-6);
+        const auto wanted = (made.loads[from->holder] * weight_to - made.loads[to->life.id] * weight_from) /
+                            (weight_from + weight_to);
+        const auto [front_keys, front_load] = cut_end(*from, rates, wanted, true);
+        const auto [back_keys, back_load] = cut_end(*from, rates, wanted, false);
+        const auto front = front_load >= back_load;
+        const auto keys = front ? front_keys : back_keys;
+        const auto load = front ? front_load : back_load;
+        if (keys == 0 || (!empty && load < options.least_gain * weight_to / 8)) {
+            from->fixed = true;
+            continue;
+        }
+        auto moved = piece{.holder = to->life.id, .load = load, .fixed = true};
+        if (front) {
+            moved.first = from->first;
+            moved.last = from->first + keys - 1;
+            from->first += keys;
+        } else {
+            moved.first = from->last - keys + 1;
+            moved.last = from->last;
+            from->last -= keys;
+        }
+        from->load -= load;
+        made.loads[from->holder] -= load;
+        made.loads[to->life.id] += load;
+        moves.push_back({.first = moved.first, .last = moved.last, .to = to->life});
+        made.pieces.push_back(moved);
+    }
+    return moves;
+}
+
+} // namespace teaselcross
--- /dev/null
+++ b/src/libteaselcross/keyspace/key_map.h
@@ -0,0 +1,57 @@
+#pragma once
+
+// Who owns which range of a service's keys, as the store records it.
+
+#include "core/identifier.h"
+
+#include <nlohmann/json.hpp>
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace teaselcross {
+
+using shard_key = std::uint32_t;
+constexpr auto last_shard_key = shard_key{65535};
+
+/// One life of a target: a restarted target has another birth.
+struct target_life {
+    target_id id;
+    std::uint64_t birth = 0; ///< Milliseconds since the Unix epoch, told by the target.
+
+    auto operator<=>(const target_life&) const = default;
+};
+
+/// A range of keys with its owner. While it moves, both sides are named and nobody is to be asked for the keys.
+struct key_range {
+    shard_key first = 0;
+    shard_key last = last_shard_key; ///< Inclusive.
+    std::uint64_t fence = 0;
+    target_life holder;
+    std::uint64_t next_fence = 0;
+    target_life next; ///< Empty unless the range moves.
+
+    auto moving() const -> bool { return !next.id.empty(); }
+    auto operator==(const key_range&) const -> bool = default;
+};
+
+/// All ranges of a service in ascending order, without gaps.
+struct key_map {
+    std::uint64_t revision = 0; ///< Of the store's object; 0 while there is none.
+    std::uint64_t fences_used = 0;
+    std::string writer; ///< Distinguishes writes whose answer was lost.
+    std::vector<key_range> ranges;
+};
+
+/// The range with @a key, or null when the map is empty. Thread safe on a map that no one changes.
+auto find_range(const key_map& map, shard_key key) -> const key_range*;
+
+auto to_json(const key_map& map) -> nlohmann::json;
+
+/// An error says what is wrong with @a document.
+auto key_map_from_json(const nlohmann::json& document, std::uint64_t revision)
+    -> tl::expected<key_map, std::string>;
+
+} // namespace teaselcross
--- /dev/null
+++ b/src/libteaselcross/routing/route_table.cpp
@@ -0,0 +1,38 @@
+#include "routing/route_table.h"
+
+#include <algorithm>
+
+namespace teaselcross {
+
+auto find_route(const route_table& table, std::string_view host, std::string_view path) -> const route_rule* {
+    const auto found = table.rules_by_host.find(host);
+    if (found == table.rules_by_host.end()) {
+        return nullptr;
+    }
+    const route_rule* best = nullptr;
+    for (const auto& rule : found->second) {
+        const auto longer = best == nullptr || rule.path_prefix.size() > best->path_prefix.size();
+        if (longer && path.starts_with(rule.path_prefix)) {
+            best = &rule;
+        }
+    }
+    return best;
+}
+
+auto next_service(route_splitter& state, const route_rule& rule) -> const service_id& {
+    if (rule.services.size() == 1) {
+        return rule.services.front().service;
+    }
+    auto& credits = state.credits[rule.name];
+    credits.resize(rule.services.size());
+    auto total = std::int64_t{0};
+    for (std::size_t index = 0; index < credits.size(); ++index) {
+        credits[index] += rule.services[index].weight;
+        total += rule.services[index].weight;
+    }
+    const auto most = std::max_element(credits.begin(), credits.end());
+    *most -= total;
+    return rule.services[static_cast<std::size_t>(most - credits.begin())].service;
+}
+
+} // namespace teaselcross
--- /dev/null
+++ b/src/libteaselcross/routing/route_table.h
@@ -0,0 +1,76 @@
+#pragma once
+
+// Routes by host and longest path prefix, and the services that they lead to.
+
+#include "core/enum_names.h"
+#include "core/identifier.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teaselcross {
+
+/// What may be done with a request whose fate is unknown.
+enum class request_kind {
+    idempotent,   ///< May run more than once.
+    at_most_once, ///< Never sent again unless it is known not to have run.
+    bulk,         ///< Idempotent, with a large answer.
+};
+constexpr enum_table<request_kind, 3> request_kind_names{"idempotent", "at_most_once", "bulk"};
+
+struct weighted_service {
+    service_id service;
+    std::uint32_t weight = 1;
+};
+
+struct route_rule {
+    std::string name;
+    std::string path_prefix;
+    request_kind kind = request_kind::at_most_once;
+    duration timeout{};             ///< The longest time that a caller is kept waiting.
+    duration objective{};           ///< The time within which an answer is worth most.
+    std::uint32_t max_attempts = 1; ///< Targets to which one request may be sent.
+    std::uint32_t rank = 0;         ///< 0 is the most urgent.
+    std::vector<weighted_service> services;
+};
+
+struct service_policy {
+    std::string health_path;
+    std::uint32_t connection_limit = 0; ///< Connections that a target accepts from all instances together.
+    duration cold_start{};              ///< How long a target stays cold after a start.
+    double cold_rate = 0;               ///< Requests a second that a cold target bears.
+    bool keyed = false;                 ///< Each key has one owner.
+};
+
+/// What callers may send and how long they may take.
+struct caller_limits {
+    std::uint32_t header_bytes = 16 * 1024;
+    std::uint64_t body_bytes = 1024 * 1024;
+    duration header_timeout = std::chrono::seconds{3};
+    duration idle_timeout = std::chrono::seconds{15};
+};
+
+/// One version of the configuration of routes.
+struct route_table {
+    std::uint64_t version = 0; ///< 0: none is known.
+    caller_limits limits;
+    std::map<std::string, std::vector<route_rule>, std::less<>> rules_by_host;
+    std::map<service_id, service_policy> services;
+};
+
+/// The rule of @a host with the longest prefix of @a path, or null. Thread safe on a table that no one changes.
+auto find_route(const route_table& table, std::string_view host, std::string_view path) -> const route_rule*;
+
+/// Distributes the requests of split routes by smooth weighted round robin. Not thread safe.
+struct route_splitter {
+    std::map<std::string, std::vector<std::int64_t>> credits; ///< By rule name, one for each service.
+};
+
+/// The service for the next request of @a rule. Precondition: the rule has at least one service.
+auto next_service(route_splitter& state, const route_rule& rule) -> const service_id&;
+
+} // namespace teaselcross
--- /dev/null
+++ b/src/teaselcross/gateway/controller.h
@@ -0,0 +1,124 @@
+#pragma once
+
+// One instance at a time decides who owns which keys, orders it at the targets, and records it in the store.
+
+#include "balance/range_balance.h"
+#include "gateway/knowledge.h"
+#include "gateway/request_router.h"
+#include "gateway/store_access.h"
+#include "ownership/lease.h"
+
+namespace teaselcross {
+
+/// Paths of calls to the controller on the internal port.
+namespace controller_paths {
+constexpr auto report = "/controller/report";
+constexpr auto resign = "/controller/resign";
+} // namespace controller_paths
+
+struct controller_options {
+    lease_options lease{.term = std::chrono::milliseconds{2000}, .renewal = std::chrono::milliseconds{600}};
+    /// A controller that the store does not answer goes on renewing grants that long after its lease ran out, since
+    /// nobody may be able to take it; a successor moves no keys before that.
+    duration afterglow = std::chrono::seconds{5};
+    duration tick = std::chrono::milliseconds{40};
+    duration report_interval = std::chrono::milliseconds{400};
+    duration balance_interval = std::chrono::milliseconds{400};
+    duration write_interval = std::chrono::milliseconds{40}; ///< Changes that come together are written together.
+    /// Reports that stay unanswered for so long make an instance look at the lease.
+    duration silence = std::chrono::milliseconds{900};
+};
+
+/// What is known of an earlier controller.
+enum class resignation {
+    unknown,   ///< It has not answered; it may still renew grants.
+    uncertain, ///< It has stopped, but a grant that it sent may take effect yet.
+    clean,     ///< It has stopped, and all its grants were answered.
+};
+constexpr enum_table<resignation, 3> resignation_names{"unknown", "uncertain", "clean"};
+
+class controller {
+public:
+    controller(const gateway_settings& options, knowledge& known, store_access& store, request_router& router,
+               metrics& measured, boost::asio::any_io_executor executor, std::uint64_t birth);
+
+    /// Seeks the lease, controls while it holds it, and reports to the holder otherwise. Ends after stop().
+    auto run() -> boost::asio::awaitable<void>;
+    /// Gives the lease up for a planned stop, after the orders in flight have ended.
+    auto stop() -> boost::asio::awaitable<void>;
+
+    /// A peer's report, or an empty answer when this instance does not control.
+    auto on_report(const std::string& body) -> std::string;
+    /// A successor asks this instance to stop. The answer tells whether its orders have all been answered.
+    auto on_resign_request(const std::string& body) -> std::string;
+
+    auto controls() const -> bool { return m_controls; }
+
+private:
+    struct service_control {
+        range_grantor grantor;
+        key_rates rates;
+        instant next_balance{};
+        instant next_write{};
+        bool loaded = false;
+        std::size_t holders_seen = 0; ///< Before the first assignment.
+        instant holders_since{};
+    };
+    struct target_speed {
+        double service_us = 0;
+        std::uint32_t slots = 1;
+    };
+
+    auto self() const -> instance_id;
+    auto seek() -> boost::asio::awaitable<void>;
+    auto read_lease() -> boost::asio::awaitable<bool>;
+    auto write_lease(lease_write write) -> boost::asio::awaitable<bool>;
+    auto begin(std::optional<lease_object> before) -> boost::asio::awaitable<void>;
+    auto settle(instance_id holder, std::uint64_t term) -> boost::asio::awaitable<void>;
+    auto ask_to_resign(instance_id holder) -> boost::asio::awaitable<resignation>;
+    auto set_moves_from(instant from) -> void;
+    auto certain(instant now) const -> bool;
+    auto end(const char* reason) -> void;
+    auto control() -> boost::asio::awaitable<void>;
+    auto may_order(instant now) const -> bool;
+    auto load_maps() -> boost::asio::awaitable<bool>;
+    auto tick(instant now) -> void;
+    auto tick_service(const service_id& service, service_control& state, instant now) -> void;
+    auto refresh_holders(const service_id& service, service_control& state, instant now) -> void;
+    auto balance(const service_id& service, service_control& state, instant now) -> void;
+    auto carry_out(service_id service, key_order order, std::uint64_t term) -> boost::asio::awaitable<void>;
+    auto record(service_id service, key_map map, std::uint64_t term) -> boost::asio::awaitable<void>;
+    auto renew() -> boost::asio::awaitable<void>;
+    auto report() -> boost::asio::awaitable<void>;
+    auto take_report(const nlohmann::json& report, instant now) -> void;
+    auto own_report() -> nlohmann::json;
+    auto holder_address() const -> std::optional<endpoint>;
+
+    const gateway_settings& m_options;
+    controller_options m_limits;
+    knowledge& m_known;
+    store_access& m_store;
+    request_router& m_router;
+    metrics& m_measured;
+    boost::asio::any_io_executor m_executor;
+    std::uint64_t m_birth;
+    connection_pool m_order_pool;
+    connection_pool m_peer_pool;
+    lease_candidate m_lease;
+    bool m_controls = false;
+    bool m_stopping = false;
+    std::uint64_t m_term = 0; ///< Counts the times that this process took control.
+    std::uint32_t m_orders_in_flight = 0;
+    instant m_last_renewal{};  ///< Start of the last write of the lease that took effect.
+    instant m_moves_from{};
+    instant m_began{}; ///< When the present term began.
+    instant m_last_heard{};    ///< When the holder of the lease last answered a report.
+    bool m_holder_refuses = false;
+    instant m_next_renewal{};
+    bool m_renewing = false;
+    std::uint64_t m_writes = 0;
+    std::map<service_id, service_control> m_services;
+    std::map<target_id, target_speed> m_speeds;
+};
+
+} // namespace teaselcross
--- /dev/null
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -0,0 +1,410 @@
+#include "gateway/gateway.h"
+
+#include "gateway/peers.h"
+#include "logging/log.h"
+#include "platform/messages.h"
+#include "platform/records.h"
+#include "runtime/clock.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace teaselcross {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr auto housekeeping_interval = duration{std::chrono::milliseconds{100}};
+constexpr auto settings_interval = duration{std::chrono::seconds{2}}; ///< The file may change without a signal.
+/// The balancer asks once a second and takes an instance out after two misses; callers come until then.
+constexpr auto callers_leave_after = duration{std::chrono::milliseconds{2600}};
+/// Before the platform kills the process, everything has ended.
+constexpr auto stop_margin = duration{std::chrono::milliseconds{500}};
+constexpr auto internal_body_limit = 4U * 1024 * 1024;
+
+auto read_file(const std::string& name) -> std::optional<std::string> {
+    auto file = std::ifstream{name};
+    if (!file) {
+        return std::nullopt;
+    }
+    auto text = std::ostringstream{};
+    text << file.rdbuf();
+    return text.str();
+}
+
+auto read_settings(const std::string& name) -> tl::expected<gateway_settings, findings> {
+    const auto text = read_file(name);
+    if (!text) {
+        return tl::unexpected(findings{{.place = "", .message = "The file cannot be read."}});
+    }
+    return platform::parse_settings(*text);
+}
+
+/// All parts of an instance.
+class gateway {
+public:
+    gateway(gateway_settings options, std::string settings_file);
+
+    /// Opens the ports. Throws boost::system::system_error when one is taken.
+    auto start() -> void;
+    auto run() -> void { m_context.run(); }
+
+private:
+    auto executor() -> asio::any_io_executor { return m_context.get_executor(); }
+    auto spawn(asio::awaitable<void> work) -> void { asio::co_spawn(m_context, std::move(work), asio::detached); }
+    auto server_for(const endpoint& address, request_handler handler) -> std::unique_ptr<http_server>;
+    auto answer_readiness(server_connection& link, http_request request) -> asio::awaitable<bool>;
+    auto is_ready() const -> bool;
+    auto follow_all() -> void;
+    auto target_events() -> follower_events;
+    auto route_events() -> follower_events;
+    auto taken_out_events() -> follower_events;
+    auto key_map_events() -> follower_events;
+    auto take_target(const store_object& object) -> void;
+    auto take_routes(const store_object& object) -> void;
+    auto take_keys(const store_object& object) -> void;
+    auto return_grace() const -> std::optional<duration>;
+    auto keep_house() -> asio::awaitable<void>;
+    auto watch_signals() -> void;
+    auto reload(const char* cause) -> void;
+    auto stop() -> asio::awaitable<void>;
+
+    asio::io_context m_context{1};
+    gateway_settings m_options;
+    std::string m_settings_file;
+    std::string m_settings_text;
+    std::uint64_t m_birth = static_cast<std::uint64_t>(wall_now().count());
+    metrics m_measured;
+    knowledge m_known;
+    store_access m_store;
+    request_router m_router;
+    controller m_control;
+    peer_service m_peers;
+    std::unique_ptr<http_server> m_callers;
+    std::unique_ptr<http_server> m_readiness;
+    std::unique_ptr<http_server> m_internal;
+    asio::signal_set m_signals;
+    std::vector<std::pair<std::string, follower_events>> m_followed;
+    std::map<std::string, std::string> m_faulty; ///< Entries that could not be read, so that each is logged once.
+    bool m_stopping = false;
+    bool m_was_ready = false;
+};
+
+gateway::gateway(gateway_settings options, std::string settings_file)
+    : m_options{std::move(options)}, m_settings_file{std::move(settings_file)},
+      m_known{m_options, executor()},
+      m_store{m_options, m_known, executor(), platform::platform_dialect},
+      m_router{m_options, m_known, m_measured, executor()},
+      m_control{m_options, m_known, m_store, m_router, m_measured, executor(), m_birth},
+      m_peers{m_options, m_known, m_store, m_control, m_measured},
+      m_signals{m_context, SIGTERM, SIGINT, SIGHUP} {
+    m_settings_text = read_file(m_settings_file).value_or(std::string{});
+}
+
+auto gateway::server_for(const endpoint& address, request_handler handler) -> std::unique_ptr<http_server> {
+    auto options = server_options{.host = address.host, .port = address.port, .marks_outcome = false};
+    options.body_limit = internal_body_limit;
+    return std::make_unique<http_server>(executor(), options, std::move(handler));
+}
+
+auto gateway::start() -> void {
+    m_callers = server_for(m_options.callers, [this](auto& link, auto request) {
+        return m_router.handle(link, std::move(request));
+    });
+    m_readiness = server_for(m_options.readiness, [this](auto& link, auto request) {
+        return answer_readiness(link, std::move(request));
+    });
+    const auto internal = endpoint{.host = m_options.callers.host, .port = m_options.first_internal_port};
+    m_internal = server_for(internal, [this](auto& link, auto request) {
+        return m_peers.handle(link, std::move(request));
+    });
+    m_callers->start();
+    m_readiness->start();
+    m_internal->start();
+    watch_signals();
+    follow_all();
+    spawn(keep_instances(m_options, m_known, m_store, m_birth));
+    spawn(probe_store(m_store, platform::kinds::routes_object));
+    spawn(m_control.run());
+    spawn(keep_house());
+}
+
+auto gateway::is_ready() const -> bool {
+    const auto routes = m_known.routes();
+    if (m_stopping || routes->version == 0) {
+        return false;
+    }
+    for (const auto& [service, policy] : routes->services) {
+        if (policy.keyed && m_known.keys(service) == nullptr) {
+            return false;
+        }
+    }
+    return true;
+}
+
+auto gateway::answer_readiness(server_connection& link, http_request request) -> asio::awaitable<bool> {
+    const auto asked = platform::is_readiness_check(request);
+    const auto ready = is_ready();
+    if (ready != m_was_ready) {
+        log::info("readiness", {{"ready", ready}, {"stopping", m_stopping}});
+        m_was_ready = ready;
+    }
+    auto status = ready ? http::status::ok : http::status::service_unavailable;
+    auto answer = http_response{asked ? status : http::status::not_found, 11};
+    answer.prepare_payload();
+    co_return co_await write_answer(link, std::move(answer));
+}
+
+auto gateway::return_grace() const -> std::optional<duration> {
+    const auto now = monotonic_now();
+    const auto back = m_store.healthy_since() + m_options.returning;
+    // Entries also lapse while the store is away; those of targets that live come back soon after it.
+    if (m_store.outages() == 0 || (m_store.healthy() && now >= back)) {
+        return std::nullopt;
+    }
+    return m_store.healthy() ? back - now : m_options.returning;
+}
+
+auto gateway::take_target(const store_object& object) -> void {
+    const auto name = object.key.substr(object.key.find('/') + 1);
+    const auto now = monotonic_now();
+    auto parsed = object.removed ? tl::expected<listed_target, std::string>{tl::unexpect, "removed"}
+                                 : platform::parse_target(name, object.value);
+    if (parsed) {
+        m_faulty.erase(object.key);
+        m_known.put_target(*parsed, object.version, now);
+        return;
+    }
+    if (!object.removed && m_faulty[object.key] != parsed.error()) {
+        m_faulty[object.key] = parsed.error();
+        log::warning("target_entry_unusable", {{"target", name}, {"fault", parsed.error()}});
+    }
+    if (object.removed) {
+        m_known.drop_target(target_id{name}, return_grace(), now);
+    }
+}
+
+auto gateway::target_events() -> follower_events {
+    return {.listed =
+                [this](const std::vector<store_object>& objects) {
+                    auto names = std::vector<target_id>{};
+                    for (const auto& object : objects) {
+                        names.emplace_back(object.key.substr(object.key.find('/') + 1));
+                        take_target(object);
+                    }
+                    m_known.keep_only(names, return_grace(), monotonic_now());
+                },
+            .changed = [this](const store_object& object) { take_target(object); }};
+}
+
+auto gateway::take_routes(const store_object& object) -> void {
+    if (object.key != platform::kinds::routes_object || object.removed) {
+        return;
+    }
+    auto parsed = platform::parse_routes(object.value);
+    if (!parsed) {
+        log::warning("config_unusable", {{"revision", object.version}, {"fault", parsed.error()}});
+        return;
+    }
+    const auto limits = parsed->limits;
+    if (!m_known.set_routes(std::move(*parsed))) {
+        return;
+    }
+    m_callers->set_limits({.header_limit = limits.header_bytes,
+                           .body_limit = static_cast<std::uint32_t>(limits.body_bytes),
+                           .idle_limit = limits.idle_timeout,
+                           .request_limit = limits.header_timeout});
+}
+
+auto gateway::route_events() -> follower_events {
+    return {.listed =
+                [this](const std::vector<store_object>& objects) {
+                    for (const auto& object : objects) {
+                        take_routes(object);
+                    }
+                },
+            .changed = [this](const store_object& object) { take_routes(object); }};
+}
+
+auto gateway::taken_out_events() -> follower_events {
+    const auto name_of = [](const store_object& object) {
+        return data_centre_id{object.key.substr(object.key.find('/') + 1)};
+    };
+    return {.listed =
+                [this, name_of](const std::vector<store_object>& objects) {
+                    const auto now = monotonic_now();
+                    auto named = std::vector<data_centre_id>{};
+                    for (const auto& object : objects) {
+                        named.push_back(name_of(object));
+                        m_known.take_out(named.back(), now);
+                    }
+                    auto back = std::vector<data_centre_id>{};
+                    for (const auto& [data_centre, since] : m_known.taken_out()) {
+                        if (std::find(named.begin(), named.end(), data_centre) == named.end()) {
+                            back.push_back(data_centre);
+                        }
+                    }
+                    for (const auto& data_centre : back) {
+                        m_known.bring_back(data_centre, now);
+                    }
+                },
+            .changed =
+                [this, name_of](const store_object& object) {
+                    if (object.removed) {
+                        m_known.bring_back(name_of(object), monotonic_now());
+                    } else {
+                        m_known.take_out(name_of(object), monotonic_now());
+                    }
+                }};
+}
+
+auto gateway::take_keys(const store_object& object) -> void {
+    if (object.removed) {
+        return;
+    }
+    const auto service = service_id{object.key.substr(object.key.find('/') + 1)};
+    auto parsed = key_map_from_json(nlohmann::json::parse(object.value, nullptr, false), object.version);
+    if (!parsed) {
+        log::error("key_map_unreadable", {{"service", service}, {"fault", parsed.error()}});
+        return;
+    }
+    m_known.set_keys(service, std::move(*parsed));
+}
+
+auto gateway::key_map_events() -> follower_events {
+    return {.listed =
+                [this](const std::vector<store_object>& objects) {
+                    for (const auto& object : objects) {
+                        take_keys(object);
+                    }
+                },
+            .changed = [this](const store_object& object) { take_keys(object); }};
+}
+
+auto gateway::follow_all() -> void {
+    m_followed.emplace_back(platform::kinds::targets, target_events());
+    m_followed.emplace_back(platform::kinds::routes, route_events());
+    m_followed.emplace_back(platform::kinds::taken_out, taken_out_events());
+    m_followed.emplace_back(platform::kinds::key_maps, key_map_events());
+    for (const auto& [kind, events] : m_followed) {
+        spawn(follow(m_store, kind, events));
+        spawn(follow_through_peers(m_store, kind, events));
+    }
+}
+
+auto gateway::keep_house() -> asio::awaitable<void> {
+    auto next_settings = monotonic_now() + settings_interval;
+    while (true) {
+        co_await pause_for(housekeeping_interval);
+        const auto now = monotonic_now();
+        m_known.sweep(now);
+        log::flush_direct();
+        if (now >= next_settings) {
+            next_settings = now + settings_interval;
+            reload("the file has changed");
+        }
+    }
+}
+
+auto gateway::reload(const char* cause) -> void {
+    auto text = read_file(m_settings_file);
+    if (!text || *text == m_settings_text) {
+        return;
+    }
+    const auto parsed = platform::parse_settings(*text);
+    m_settings_text = std::move(*text);
+    if (!parsed) {
+        log::error("settings_refused", {{"cause", cause}, {"faults", to_text(parsed.error(), m_settings_file)}});
+        return;
+    }
+    // Addresses belong to the process; limits take effect at once.
+    auto limits = *parsed;
+    limits.instance = m_options.instance;
+    limits.callers = m_options.callers;
+    limits.readiness = m_options.readiness;
+    limits.first_internal_port = m_options.first_internal_port;
+    m_options = std::move(limits);
+    log::info("settings_reloaded", {{"cause", cause}});
+}
+
+auto gateway::watch_signals() -> void {
+    m_signals.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            log::info("hang_up", {});
+            reload("signal");
+        } else if (!m_stopping) {
+            m_stopping = true;
+            spawn(stop());
+        }
+        watch_signals();
+    });
+}
+
+auto gateway::stop() -> asio::awaitable<void> {
+    log::info("stopping", {{"busy", m_callers->busy()}, {"connections", m_callers->connections()}});
+    const auto began = monotonic_now();
+    m_callers->wind_down();
+    co_await m_control.stop();
+    const auto until = began + m_options.grace - stop_margin;
+    while (monotonic_now() < until) {
+        const auto quiet = m_callers->busy() == 0 && m_callers->connections() == 0;
+        if (quiet && monotonic_now() >= began + callers_leave_after) {
+            break;
+        }
+        co_await pause_for(housekeeping_interval / 2);
+    }
+    m_callers->stop();
+    while (m_callers->busy() > 0 && monotonic_now() < until + stop_margin / 2) {
+        co_await pause_for(housekeeping_interval / 5);
+    }
+    log::info("stopped", {{"busy", m_callers->busy()}});
+    log::flush_direct();
+    m_context.stop();
+}
+
+} // namespace
+
+auto run_gateway(const std::string& settings_file) -> exit_code {
+    const auto settings = read_settings(settings_file);
+    if (!settings) {
+        std::cerr << to_text(settings.error(), settings_file);
+        return exit_code::usage;
+    }
+    log::start_direct(settings->instance, "info");
+    auto running = gateway{*settings, settings_file};
+    try {
+        running.start();
+    } catch (const boost::system::system_error& error) {
+        std::cerr << "teaselcross: cannot listen on " << settings->callers.host << ": " << error.what() << "\n";
+        return exit_code::usage;
+    }
+    log::info("started", {{"data_centre", settings->data_centre}, {"host", settings->callers.host}});
+    log::flush_direct();
+    running.run();
+    return exit_code::ok;
+}
+
+auto check_gateway_settings(const std::string& settings_file) -> exit_code {
+    const auto settings = read_settings(settings_file);
+    if (!settings) {
+        std::cerr << to_text(settings.error(), settings_file);
+        return exit_code::usage;
+    }
+    std::cout << "no faults\n";
+    return exit_code::ok;
+}
+
+} // namespace teaselcross
--- a/src/teaselcross/http/connection_pool.cpp
+++ b/src/teaselcross/http/connection_pool.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -39,9 +41,9 @@
     set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(milliseconds));
 }
 
-auto connection_pool::acquire(endpoint peer)
+auto connection_pool::acquire(endpoint peer, duration freshness)
     -> asio::awaitable<tl::expected<std::unique_ptr<connection>, connect_error>> {
-    if (auto idle = take_idle(peer)) {
+    if (auto idle = take_idle(peer, freshness)) {
         co_return std::move(idle);
     }
     auto error = boost::system::error_code{};
@@ -76,7 +78,7 @@
     m_idle.erase(peer);
 }
 
-auto connection_pool::take_idle(const endpoint& peer) -> std::unique_ptr<connection> {
+auto connection_pool::take_idle(const endpoint& peer, duration freshness) -> std::unique_ptr<connection> {
     const auto found = m_idle.find(peer);
     if (found == m_idle.end()) {
         return nullptr;
@@ -87,7 +89,8 @@
         // The one used last is the least likely to have gone silent.
         auto candidate = std::move(idle.back());
         idle.pop_back();
-        if (now - candidate->last_used < m_options.idle_limit && !is_stale(candidate->stream.socket())) {
+        const auto limit = std::min({m_options.idle_limit, candidate->idle_limit, freshness});
+        if (now - candidate->last_used < limit && !is_stale(candidate->stream.socket())) {
             return candidate;
         }
     }
--- a/src/teaselcross/http/connection_pool.h
+++ b/src/teaselcross/http/connection_pool.h
@@ -32,6 +32,7 @@
     boost::beast::flat_buffer buffer;
     endpoint peer;
     instant last_used{};
+    duration idle_limit = duration::max(); ///< After which the peer says it closes the connection.
 };
 
 /// Why there is no connection.
@@ -50,8 +51,8 @@
     connection_pool(boost::asio::any_io_executor executor, pool_options options)
         : m_executor{std::move(executor)}, m_options{options} {}
 
-    /// An idle connection to @a peer that is not known to be closed, or a new one.
-    auto acquire(endpoint peer)
+    /// An idle connection to @a peer that was used within @a freshness and is not known to be closed, or a new one.
+    auto acquire(endpoint peer, duration freshness = duration::max())
         -> boost::asio::awaitable<tl::expected<std::unique_ptr<connection>, connect_error>>;
 
     /// Takes back a connection whose last answer was read to its end.
@@ -64,7 +65,7 @@
     auto opened() const -> std::uint64_t { return m_opened; }
 
 private:
-    auto take_idle(const endpoint& peer) -> std::unique_ptr<connection>;
+    auto take_idle(const endpoint& peer, duration freshness) -> std::unique_ptr<connection>;
 
     boost::asio::any_io_executor m_executor;
     pool_options m_options;
--- a/src/teaselcross/http/exchange.cpp
+++ b/src/teaselcross/http/exchange.cpp
@@ -33,42 +33,69 @@
 
 } // namespace
 
-auto begin_exchange(connection_pool& pool, endpoint peer, http_request request, exchange_limits limits)
+auto open_exchange(connection_pool& pool, endpoint peer, duration freshness)
     -> asio::awaitable<tl::expected<open_answer, exchange_error>> {
-    auto acquired = co_await pool.acquire(peer);
+    auto acquired = co_await pool.acquire(std::move(peer), freshness);
     if (!acquired) {
         co_return tl::unexpected(acquired.error() == connect_error::refused ? exchange_error::refused
                                                                             : exchange_error::not_sent);
     }
     auto answer = open_answer{};
     answer.from = std::move(*acquired);
-    auto& stream = answer.from->stream;
-    stream.expires_after(limits.answer_timeout);
-    const auto [write_error, written] = co_await http::async_write(stream, request, as_result);
-    if (write_error) {
-        pool.forget(peer);
-        co_return tl::unexpected(exchange_error::lost);
-    }
+    co_return std::move(answer);
+}
+
+auto send_request(open_answer& answer, const http_request& request, duration timeout) -> asio::awaitable<bool> {
+    answer.from->stream.expires_after(timeout);
+    const auto [error, written] = co_await http::async_write(answer.from->stream, request, as_result);
+    co_return !error;
+}
+
+auto receive_answer(open_answer& answer, bool without_body, exchange_limits limits) -> asio::awaitable<bool> {
     answer.parser = std::make_unique<http::response_parser<http::buffer_body>>();
     answer.parser->header_limit(answer_header_limit);
     answer.parser->body_limit(boost::none);
-    if (request.method() == http::verb::head) {
-        answer.parser->skip(true);
-    }
-    const auto [read_error, read] =
+    answer.parser->skip(without_body);
+    answer.body.clear();
+    auto& stream = answer.from->stream;
+    stream.expires_after(limits.answer_timeout);
+    const auto [error, read] =
         co_await http::async_read_header(stream, answer.from->buffer, *answer.parser, as_result);
-    if (read_error) {
-        // Whatever made this one silent may have reached the others too.
-        pool.forget(peer);
-        co_return tl::unexpected(exchange_error::lost);
+    if (error) {
+        co_return false;
     }
     answer.whole = answer.parser->is_done();
     const auto length = answer.parser->content_length();
     const auto short_body = !length || *length <= limits.whole_limit;
-    if (short_body && !co_await read_short_body(answer, limits)) {
+    co_return !short_body || co_await read_short_body(answer, limits);
+}
+
+auto abort_exchange(open_answer& answer) -> void {
+    if (answer.from == nullptr) {
+        return;
+    }
+    auto& socket = answer.from->stream.socket();
+    auto ignored = boost::system::error_code{};
+    // The connection is given up whether or not the option can be set.
+    socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+    socket.close(ignored);
+}
+
+auto begin_exchange(connection_pool& pool, endpoint peer, http_request request, exchange_limits limits)
+    -> asio::awaitable<tl::expected<open_answer, exchange_error>> {
+    auto answer = co_await open_exchange(pool, peer, duration::max());
+    if (!answer) {
+        co_return tl::unexpected(answer.error());
+    }
+    const auto without_body = request.method() == http::verb::head;
+    if (!co_await send_request(*answer, request, limits.answer_timeout) ||
+        !co_await receive_answer(*answer, without_body, limits)) {
+        // Whatever made this one silent may have reached the others too.
+        pool.forget(peer);
+        abort_exchange(*answer);
         co_return tl::unexpected(exchange_error::lost);
     }
-    co_return std::move(answer);
+    co_return std::move(*answer);
 }
 
 auto read_part(open_answer& answer, duration stall_timeout)
--- a/src/teaselcross/http/exchange.h
+++ b/src/teaselcross/http/exchange.h
@@ -39,6 +39,23 @@
     std::size_t whole_limit = std::size_t{64} * 1024; ///< Bodies up to this size are read whole at once.
 };
 
+/// Takes a connection to @a peer for one exchange: an idle one that was used within @a freshness, or a new one.
+auto open_exchange(connection_pool& pool, endpoint peer, duration freshness)
+    -> boost::asio::awaitable<tl::expected<open_answer, exchange_error>>;
+
+/// Sends @a request, which must outlive the call. False when the connection broke or @a timeout passed; then the
+/// peer may have received any part of it.
+auto send_request(open_answer& answer, const http_request& request, duration timeout)
+    -> boost::asio::awaitable<bool>;
+
+/// Reads the header of the next answer on the connection, and its body if that is short. What an earlier call
+/// read is dropped. False when the answer is missing or cut.
+auto receive_answer(open_answer& answer, bool without_body, exchange_limits limits)
+    -> boost::asio::awaitable<bool>;
+
+/// Closes the connection with a reset, so that nothing of the request that is still on its way arrives later.
+auto abort_exchange(open_answer& answer) -> void;
+
 /// Sends @a request to @a peer and reads the answer's header, and its body if that is short.
 auto begin_exchange(connection_pool& pool, endpoint peer, http_request request, exchange_limits limits)
     -> boost::asio::awaitable<tl::expected<open_answer, exchange_error>>;
--- a/src/teaselcross/http/server.cpp
+++ b/src/teaselcross/http/server.cpp
@@ -25,7 +25,7 @@
 constexpr auto write_limit = std::chrono::seconds{30};
 
 /// The answer to a request that could not be read.
-auto answer_to_fault(const boost::system::error_code& error) -> http_response {
+auto answer_to_fault(const boost::system::error_code& error, bool marks_outcome) -> http_response {
     auto status = http::status::bad_request;
     auto text = std::string{"The request is malformed: "} + error.message() + ".";
     if (error == http::error::header_limit) {
@@ -37,7 +37,9 @@
     }
     auto answer = http_response{status, 11};
     answer.set(http::field::content_type, "application/json");
-    answer.set("Teaselcross-Outcome", "not-run");
+    if (marks_outcome) {
+        answer.set("Teaselcross-Outcome", "not-run");
+    }
     answer.keep_alive(false);
     answer.body() = nlohmann::json{{"error", text}, {"outcome", "not-run"}}.dump() + "\n";
     answer.prepare_payload();
@@ -84,6 +86,13 @@
     }
 }
 
+auto http_server::set_limits(const server_options& limits) -> void {
+    m_options.header_limit = limits.header_limit;
+    m_options.body_limit = limits.body_limit;
+    m_options.idle_limit = limits.idle_limit;
+    m_options.request_limit = limits.request_limit;
+}
+
 auto http_server::abort() -> void {
     m_stopping = true;
     auto ignored = boost::system::error_code{};
@@ -144,12 +153,12 @@
         if (error) {
             if (is_http_fault(error)) {
                 link.keep_alive = false;
-                static_cast<void>(co_await write_answer(link, answer_to_fault(error)));
+                static_cast<void>(co_await write_answer(link, answer_to_fault(error, m_options.marks_outcome)));
             }
             break;
         }
         link.stream.expires_never();
-        link.keep_alive = parser.get().keep_alive() && !m_stopping;
+        link.keep_alive = parser.get().keep_alive() && !m_stopping && !m_winding_down;
         ++m_busy;
         const auto usable = co_await m_handler(link, parser.release());
         --m_busy;
@@ -224,6 +233,31 @@
     }
 }
 
+departure_watch::departure_watch(server_connection& watched, std::function<void()> on_gone)
+    : m_watched{watched}, m_state{std::make_shared<state>()} {
+    m_state->on_gone = std::move(on_gone);
+    auto& socket = watched.stream.socket();
+    socket.async_wait(asio::ip::tcp::socket::wait_read,
+                      [&socket, state = m_state](const boost::system::error_code& error) {
+                          if (state->over || error == asio::error::operation_aborted) {
+                              return;
+                          }
+                          auto byte = char{};
+                          const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+                          if (got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) {
+                              return; // The next request has come already; the peer is there.
+                          }
+                          state->gone = true;
+                          state->on_gone();
+                      });
+}
+
+departure_watch::~departure_watch() {
+    m_state->over = true;
+    auto ignored = boost::system::error_code{};
+    m_watched.stream.socket().cancel(ignored);
+}
+
 auto json_answer(const http_request& request, http::status status, const std::string& body) -> http_response {
     auto answer = http_response{status, request.version()};
     answer.set(http::field::content_type, "application/json");
--- a/src/teaselcross/http/server.h
+++ b/src/teaselcross/http/server.h
@@ -20,6 +20,7 @@
     std::uint32_t connection_limit = 4096;
     duration idle_limit = std::chrono::seconds{60};    ///< Between two requests.
     duration request_limit = std::chrono::seconds{10}; ///< For a request to arrive whole.
+    bool marks_outcome = true; ///< Answers to requests that cannot be read name the outcome, as the callers' API does.
 };
 
 /// One connection of a caller, while a request of it is handled.
@@ -43,6 +44,12 @@
     /// Accepts no more connections, closes idle ones, and lets requests in flight finish.
     auto stop() -> void;
 
+    /// Goes on accepting and answering, but each connection ends with its next answer.
+    auto wind_down() -> void { m_winding_down = true; }
+
+    /// The limits for requests that arrive from now on; host and port stay as they are.
+    auto set_limits(const server_options& limits) -> void;
+
     /// Closes the port and all connections at once, as the end of a process does.
     auto abort() -> void;
 
@@ -63,6 +70,29 @@
     std::set<std::shared_ptr<session>> m_sessions;
     std::size_t m_busy = 0;
     bool m_stopping = false;
+    bool m_winding_down = false;
+};
+
+/// Learns that a caller has gone while its request is handled.
+class departure_watch {
+public:
+    /// Calls @a on_gone once when the peer of @a watched closes its connection. Both must outlive the watch.
+    departure_watch(server_connection& watched, std::function<void()> on_gone);
+    departure_watch(const departure_watch&) = delete;
+    auto operator=(const departure_watch&) -> departure_watch& = delete;
+    ~departure_watch();
+
+    auto gone() const -> bool { return m_state->gone; }
+
+private:
+    struct state {
+        bool gone = false;
+        bool over = false;
+        std::function<void()> on_gone;
+    };
+
+    server_connection& m_watched;
+    std::shared_ptr<state> m_state;
 };
 
 /// Writes a whole answer. False when the connection broke.
--- a/src/teaselcross/logging/log.cpp
+++ b/src/teaselcross/logging/log.cpp
@@ -1,58 +1,19 @@
 #include "logging/log.h"
 
-#include <log4cplus/asyncappender.h>
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
-
 #include <atomic>
-#include <memory>
 
 namespace teaselcross::log {
 
 namespace {
 
-constexpr auto queue_length = 10'000U;
-
-struct backend {
-    log4cplus::Initializer initializer;
-    log4cplus::Logger logger;
-    std::string instance;
-};
-
-auto current() -> std::unique_ptr<backend>& {
-    static auto instance = std::unique_ptr<backend>{};
-    return instance;
+auto current_sink() -> std::atomic<sink>& {
+    static auto where = std::atomic<sink>{nullptr};
+    return where;
 }
 
-auto started() -> std::atomic<bool>& {
-    static auto flag = std::atomic<bool>{false};
-    return flag;
-}
-
-auto level_of(level severity) -> log4cplus::LogLevel {
-    switch (severity) {
-    case level::debug:
-        return log4cplus::DEBUG_LOG_LEVEL;
-    case level::info:
-        return log4cplus::INFO_LOG_LEVEL;
-    case level::warning:
-        return log4cplus::WARN_LOG_LEVEL;
-    case level::error:
-        break;
-    }
-    return log4cplus::ERROR_LOG_LEVEL;
-}
-
-auto minimum_of(const std::string& name) -> log4cplus::LogLevel {
-    if (name == "debug") {
-        return log4cplus::DEBUG_LOG_LEVEL;
-    }
-    if (name == "warning") {
-        return log4cplus::WARN_LOG_LEVEL;
-    }
-    return name == "error" ? log4cplus::ERROR_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL;
+auto least_level() -> std::atomic<level>& {
+    static auto least = std::atomic<level>{level::info};
+    return least;
 }
 
 auto needs_quotes(const std::string& value) -> bool {
@@ -72,24 +33,19 @@
 
 } // namespace
 
-auto start(const std::string& instance, const std::string& minimum) -> void {
-    auto created = std::make_unique<backend>();
-    auto console = log4cplus::SharedAppenderPtr{new log4cplus::ConsoleAppender{false, true}};
-    console->setLayout(
-        std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
-    created->logger = log4cplus::Logger::getInstance("teaselcross");
-    created->logger.setLogLevel(minimum_of(minimum));
-    created->logger.setAdditivity(false);
-    created->logger.addAppender(
-        log4cplus::SharedAppenderPtr{new log4cplus::AsyncAppender{console, queue_length}});
-    created->instance = instance;
-    current() = std::move(created);
-    started().store(true, std::memory_order_release);
+auto set_sink(sink where, level minimum) -> void {
+    least_level().store(minimum, std::memory_order_relaxed);
+    current_sink().store(where, std::memory_order_release);
 }
 
-auto stop() -> void {
-    started().store(false);
-    current().reset();
+auto level_named(const std::string& name) -> level {
+    if (name == "debug") {
+        return level::debug;
+    }
+    if (name == "warning") {
+        return level::warning;
+    }
+    return name == "error" ? level::error : level::info;
 }
 
 auto format(std::string_view event, std::initializer_list<field> fields) -> std::string {
@@ -108,13 +64,9 @@
 }
 
 auto write(level severity, std::string_view event, std::initializer_list<field> fields) -> void {
-    if (!started().load(std::memory_order_acquire)) {
-        return;
-    }
-    auto& logger = current()->logger;
-    const auto chosen = level_of(severity);
-    if (logger.isEnabledFor(chosen)) {
-        logger.log(chosen, "instance=" + current()->instance + " " + format(event, fields));
+    const auto where = current_sink().load(std::memory_order_acquire);
+    if (where != nullptr && severity >= least_level().load(std::memory_order_relaxed)) {
+        where(severity, format(event, fields));
     }
 }
 
--- a/src/teaselcross/logging/log.h
+++ b/src/teaselcross/logging/log.h
@@ -2,6 +2,7 @@
 
 // Structured logs: one line of key=value pairs for each event.
 
+#include <array>
 #include <concepts>
 #include <initializer_list>
 #include <string>
@@ -37,6 +38,20 @@
 /// Writes what is queued and stops.
 auto stop() -> void;
 
+/// Starts logging to standard output without a thread: lines are kept until flush_direct(). For programs of one
+/// event loop. A reader that does not read costs lines, never time. Not thread safe.
+auto start_direct(const std::string& instance, const std::string& minimum) -> void;
+/// Writes what standard output takes now without blocking; says how many lines were left out, if any.
+auto flush_direct() -> void;
+
+/// Where lines go. @a text is the event without time and instance.
+using sink = void (*)(level severity, const std::string& text);
+/// Sets where lines of at least @a minimum go; null for nowhere. Thread safe.
+auto set_sink(sink where, level minimum) -> void;
+/// "debug", "info", "warning" or "error"; info for anything else.
+auto level_named(const std::string& name) -> level;
+constexpr auto level_names = std::array<std::string_view, 4>{"DEBUG", "INFO", "WARN", "ERROR"};
+
 /// Logs one event. Before start() it does nothing. Safe to call from any thread.
 auto write(level severity, std::string_view event, std::initializer_list<field> fields) -> void;
 
--- a/src/teaselcross/main.cpp
+++ b/src/teaselcross/main.cpp
@@ -1,5 +1,6 @@
 // The command line of teaselcross.
 
+#include "commands/gateway_command.h"
 #include "commands/operator_commands.h"
 #include "commands/serve.h"
 
@@ -20,6 +21,9 @@
 
   teaselcross serve --settings FILE       run one instance until SIGTERM
   teaselcross check-settings FILE         check a settings file, report all faults
+  teaselcross gateway [FILE]              run one instance on the platform until SIGTERM
+  teaselcross check-gateway-settings [FILE]
+                                          the same checks for the platform's settings
   teaselcross config show                 the configuration in force
   teaselcross config check FILE           check a whole description, report all faults
   teaselcross config patch --base N FILE  apply a JSON Merge Patch to version N, or be refused
@@ -76,6 +80,9 @@
         }
         return teaselcross::serve(*settings);
     }
+    if (command == "gateway" || command == "check-gateway-settings") {
+        return teaselcross::gateway_command(command, options.arguments);
+    }
     if (command == "config") {
         return teaselcross::config_command(options);
     }
--- a/src/teaselcross/metrics/metrics.h
+++ b/src/teaselcross/metrics/metrics.h
@@ -31,8 +31,12 @@
     membership_bytes_sent,
     membership_bytes_received,
     connections_opened,
+    callers_left,
+    grants_made,
+    grants_unanswered,
+    ranges_moved,
 };
-constexpr enum_table<counter, 17> counter_names{"requests_total",
+constexpr enum_table<counter, 21> counter_names{"requests_total",
                                                 "answered_total",
                                                 "refused_not_run_total",
                                                 "outcome_unknown_total",
@@ -48,7 +52,11 @@
                                                 "target_coolings_total",
                                                 "membership_sent_bytes_total",
                                                 "membership_received_bytes_total",
-                                                "connections_opened_total"};
+                                                "connections_opened_total",
+                                                "callers_left_total",
+                                                "grants_made_total",
+                                                "grants_unanswered_total",
+                                                "ranges_moved_total"};
 
 /// What a latency is of.
 enum class timing { request, keeper_queue, target };
--- /dev/null
+++ b/src/teaselcross/store/store_call.cpp
@@ -0,0 +1,34 @@
+#include "store/store_call.h"
+
+#include "runtime/clock.h"
+
+namespace teaselcross {
+
+namespace {
+
+constexpr auto largest_list = std::size_t{256} * 1024 * 1024;
+
+} // namespace
+
+auto is_write(store_call_kind kind) -> bool {
+    return kind == store_call_kind::create || kind == store_call_kind::update ||
+           kind == store_call_kind::remove;
+}
+
+auto perform_store_call(connection_pool& pool, endpoint store, const store_dialect& dialect, store_call call,
+                        duration timeout) -> boost::asio::awaitable<store_reply> {
+    auto reply = store_reply{};
+    reply.started = monotonic_now();
+    auto request = dialect.request_of(call, store.host);
+    const auto answer =
+        co_await whole_exchange(pool, std::move(store), std::move(request), timeout + call.wait, largest_list);
+    if (!answer) {
+        const auto sent = answer.error() == exchange_error::lost;
+        reply.status = sent && is_write(call.kind) ? store_status::unknown : store_status::unavailable;
+        co_return reply;
+    }
+    dialect.read_reply(call, *answer, reply);
+    co_return reply;
+}
+
+} // namespace teaselcross
--- a/src/teaselcross/store/store_client.cpp
+++ b/src/teaselcross/store/store_client.cpp
@@ -1,7 +1,5 @@
 #include "store/store_client.h"
 
-#include "runtime/clock.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -15,12 +13,6 @@
 namespace {
 
 constexpr auto call_timeout = duration{std::chrono::seconds{2}};
-constexpr auto largest_list = std::size_t{256} * 1024 * 1024;
-
-auto is_write(store_call_kind kind) -> bool {
-    return kind == store_call_kind::create || kind == store_call_kind::update ||
-           kind == store_call_kind::remove;
-}
 
 auto target_of(const store_call& call) -> std::string {
     switch (call.kind) {
@@ -38,7 +30,7 @@
     }
 }
 
-auto request_of(store_call call, const endpoint& store) -> http_request {
+auto request_of(const store_call& call, const std::string& host) -> http_request {
     auto verb = http::verb::get;
     if (call.kind == store_call_kind::remove) {
         verb = http::verb::delete_;
@@ -46,13 +38,13 @@
         verb = http::verb::put;
     }
     auto request = http_request{verb, target_of(call), 11};
-    request.set(http::field::host, store.host);
+    request.set(http::field::host, host);
     if (call.kind == store_call_kind::create) {
         request.set(http::field::if_none_match, "*");
     } else if (call.kind == store_call_kind::update) {
         request.set(http::field::if_match, "\"" + std::to_string(call.expected_version) + "\"");
     }
-    request.body() = std::move(call.value);
+    request.body() = call.value;
     request.prepare_payload();
     return request;
 }
@@ -96,6 +88,32 @@
     return is_write(call.kind) && code >= 500 ? store_status::unknown : store_status::unavailable;
 }
 
+auto read_reply(const store_call& call, const http_response& response, store_reply& reply) -> void {
+    reply.status = status_of(call, response.result_int());
+    if (reply.status != store_status::ok) {
+        return;
+    }
+    switch (call.kind) {
+    case store_call_kind::list:
+    case store_call_kind::watch:
+        read_list(response.body(), reply);
+        break;
+    case store_call_kind::get:
+        reply.version = version_of(response);
+        reply.objects.push_back(
+            {.key = call.key, .version = reply.version, .value = response.body(), .removed = false});
+        break;
+    case store_call_kind::instances:
+        reply.body = response.body();
+        break;
+    default:
+        reply.version = version_of(response);
+        break;
+    }
+}
+
+constexpr auto own_dialect = store_dialect{.request_of = request_of, .read_reply = read_reply};
+
 } // namespace
 
 store_client::store_client(duty& own, endpoint store)
@@ -109,48 +127,12 @@
             m_duty.context(),
             [](store_client& self, store_call made, duty& consumer,
                std::function<void(const store_reply&)> then) -> asio::awaitable<void> {
-                auto reply = co_await self.perform(std::move(made));
+                auto reply = co_await perform_store_call(self.m_pool, self.m_store, own_dialect, std::move(made),
+                                                          call_timeout);
                 consumer.post([then = std::move(then), reply = std::move(reply)] { then(reply); });
             }(*this, std::move(call), reply_to, std::move(handler)),
             asio::detached);
     });
 }
 
-auto store_client::perform(store_call call) -> asio::awaitable<store_reply> {
-    auto reply = store_reply{};
-    reply.started = monotonic_now();
-    const auto timeout = call_timeout + call.wait;
-    auto response =
-        co_await whole_exchange(m_pool, m_store, request_of(call, m_store), timeout, largest_list);
-    if (!response) {
-        const auto sent = response.error() == exchange_error::lost;
-        reply.status = sent && is_write(call.kind) ? store_status::unknown : store_status::unavailable;
-        co_return reply;
-    }
-    reply.status = status_of(call, response->result_int());
-    if (reply.status != store_status::ok) {
-        co_return reply;
-    }
-    switch (call.kind) {
-    case store_call_kind::list:
-    case store_call_kind::watch:
-        read_list(response->body(), reply);
-        break;
-    case store_call_kind::get:
-        reply.version = version_of(*response);
-        reply.objects.push_back({.key = call.key,
-                                 .version = reply.version,
-                                 .value = std::move(response->body()),
-                                 .removed = false});
-        break;
-    case store_call_kind::instances:
-        reply.body = std::move(response->body());
-        break;
-    default:
-        reply.version = version_of(*response);
-        break;
-    }
-    co_return reply;
-}
-
 } // namespace teaselcross
