Reset connections on close, give no send up early, move keys only beyond chance

Cause: held-up grants arrived after a partition healed, because an expired stream closes without a reset (OWNER); sends given up at half the time broke off work after SIGTERM (LOST); single requests looked like hot ranges.

--- a/src/libteaselcross/balance/range_balance.cpp
+++ b/src/libteaselcross/balance/range_balance.cpp
@@ -52,6 +52,20 @@
     return load->second / std::max(holder->second.weight, 1e-6);
 }
 
+/// The relative load of @a id that is more than the luck of a few requests.
+auto certain_load(const range_grantor& state, const plan& made, const target_id& id, const balance_options& options)
+    -> double {
+    const auto load = made.loads.find(id);
+    const auto holder = state.holders.find(id);
+    if (load == made.loads.end() || holder == state.holders.end()) {
+        return 0;
+    }
+    // An exponential memory has the variance of a plain count over twice its time constant.
+    const auto seconds = 2.0 * std::chrono::duration<double>(options.memory).count();
+    const auto deviation = std::sqrt(std::max(load->second, 0.0) / seconds);
+    return (load->second - options.significance * deviation) / std::max(holder->second.weight, 1e-6);
+}
+
 auto holds_nothing(const plan& made, const target_id& id) -> bool {
     return std::none_of(made.pieces.begin(), made.pieces.end(),
                         [&id](const auto& each) { return each.holder == id; });
@@ -152,7 +166,7 @@
             break;
         }
         const auto empty = holds_nothing(made, to->life.id);
-        const auto high = relative_load(state, made, from->holder);
+        const auto high = certain_load(state, made, from->holder, options);
         const auto low = relative_load(state, made, to->life.id);
         if (!empty && (high < options.overload || high - low < options.least_gain)) {
             break;
--- a/src/libteaselcross/balance/range_balance.h
+++ b/src/libteaselcross/balance/range_balance.h
@@ -21,6 +21,7 @@
 struct balance_options {
     duration memory = std::chrono::milliseconds{1000}; ///< Time constant of the rates; hot sets change within seconds.
     double overload = 0.60;          ///< Load of a holder, relative to what it bears, above which keys move.
+    double significance = 2.5;       ///< Standard deviations of a rate by which it must exceed the bound.
     double least_gain = 0.25;        ///< Difference of relative loads that is worth a move.
     std::size_t moves_at_once = 6;   ///< Each takes its keys out of service for a moment.
     std::size_t ranges_per_holder = 8; ///< Each range is renewed apart, so pieces must not multiply without bound.
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -30,6 +30,9 @@
 constexpr auto callers_leave_after = duration{std::chrono::milliseconds{2600}};
 /// Before the platform kills the process, everything has ended.
 constexpr auto stop_margin = duration{std::chrono::milliseconds{500}};
+/// Requests for keys that move wait for the news; the rest has two seconds to take effect everywhere.
+constexpr auto key_map_pause = duration{std::chrono::milliseconds{20}};
+constexpr auto entry_pause = duration{std::chrono::milliseconds{200}};
 constexpr auto internal_body_limit = 4U * 1024 * 1024;
 
 auto read_file(const std::string& name) -> std::optional<std::string> {
@@ -297,7 +300,8 @@
     m_followed.emplace_back(platform::kinds::taken_out, taken_out_events());
     m_followed.emplace_back(platform::kinds::key_maps, key_map_events());
     for (const auto& [kind, events] : m_followed) {
-        spawn(follow(m_store, kind, events));
+        const auto urgent = kind == platform::kinds::key_maps;
+        spawn(follow(m_store, kind, events, urgent ? key_map_pause : entry_pause));
         spawn(follow_through_peers(m_store, kind, events));
     }
 }
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -21,7 +21,7 @@
 constexpr auto first_interval = duration{std::chrono::milliseconds{400}};
 constexpr auto first_looks = 4;
 /// A relayed watch may wait as long as the one who asked.
-constexpr auto relay_timeout = duration{std::chrono::milliseconds{3300}};
+constexpr auto relay_timeout = duration{std::chrono::milliseconds{9500}};
 constexpr auto largest_relayed = std::size_t{16} * 1024 * 1024;
 
 auto record_of(const gateway_settings& options, std::uint64_t birth) -> std::string {
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -17,8 +17,10 @@
 constexpr auto default_patience = duration{std::chrono::seconds{30}};
 /// Less than this is not worth a send: the way there and back takes most of it.
 constexpr auto least_useful = duration{std::chrono::milliseconds{10}};
-/// A key that changes hands is served again within some hundred milliseconds.
-constexpr auto owner_wait = duration{std::chrono::milliseconds{250}};
+/// A key that changes hands is mostly served again within it.
+constexpr auto owner_wait = duration{std::chrono::milliseconds{150}};
+/// When a key whose owner was lost is worth asking for again.
+constexpr auto owner_lost_retry = duration{std::chrono::milliseconds{400}};
 /// Answers up to this size are read whole before they are passed on, so that a cut one can be tried again.
 constexpr auto whole_answer = std::size_t{1024} * 1024;
 /// A body whose header came in time is waited for at least that long between two of its parts.
@@ -95,7 +97,8 @@
              {.connect_timeout = std::chrono::milliseconds{150},
               .idle_limit = std::chrono::seconds{8},
               .user_timeout = std::chrono::milliseconds{1500},
-              .idle_per_peer = 8}} {}
+              .idle_per_peer = 8,
+              .reset_on_close = true}} {}
 
 auto request_router::handle(server_connection& link, http_request request) -> asio::awaitable<bool> {
     auto current = flow{};
@@ -170,7 +173,7 @@
             current.retry_after = chosen.retry_after;
             co_return current.may_have_run ? refusal::target_failed : *chosen.reason;
         }
-        const auto limit = attempt_limit(current, chosen.target->view, now);
+        const auto limit = current.deadline - now; // A target's silence is no reason to give its work up.
         platform::address_target_request(request, chosen.target->view.listed.id, patience_end - now);
         const auto end = co_await attempt(current, chosen.target, request, limit);
         if (end == attempt_end::answered || end == attempt_end::withdrawn) {
@@ -198,12 +201,17 @@
     const auto now = monotonic_now();
     const auto map = m_known.keys(current.service);
     const auto* range = map == nullptr ? nullptr : find_range(*map, *current.said.key);
-    if (range == nullptr || range->moving()) {
-        return {.reason = refusal::no_owner, .worth_waiting = true, .retry_after = owner_wait};
+    if (range == nullptr) {
+        return {.reason = refusal::no_owner, .retry_after = owner_lost_retry};
     }
     auto owner = m_known.target(range->holder.id);
-    if (owner == nullptr || owner->view.listed.birth != range->holder.birth) {
-        return {.reason = refusal::no_owner, .worth_waiting = true, .retry_after = owner_wait};
+    const auto lives = owner != nullptr && owner->view.listed.birth == range->holder.birth;
+    const auto silent = !lives || (now < owner->view.avoid_until && owner->view.failures >= owner_failures);
+    if (range->moving() || silent) {
+        // A living holder releases its keys as soon as it has ended its work; a lost one is waited out.
+        return {.reason = refusal::no_owner,
+                .worth_waiting = !silent,
+                .retry_after = silent ? owner_lost_retry : owner_wait};
     }
     auto& view = owner->view;
     const auto out_since = m_known.taken_out_since(view.listed.data_centre);
@@ -211,9 +219,6 @@
     if (left || (out_since && now > *out_since + taken_out_owner_serves)) {
         return {.reason = refusal::no_owner, .worth_waiting = true, .retry_after = owner_wait};
     }
-    if (now < view.avoid_until && view.failures >= owner_failures) {
-        return {.reason = refusal::no_owner, .retry_after = view.avoid_until - now};
-    }
     if (const auto reason = gate(current, view, now)) {
         return {.reason = reason, .retry_after = current.retry_after};
     }
@@ -267,17 +272,6 @@
     return std::nullopt;
 }
 
-/// How long one send may take. A repeatable request whose answer seems lost gets a second try while there is time.
-auto request_router::attempt_limit(const flow& current, const target_view& view, instant now) const -> duration {
-    const auto left = current.deadline - now;
-    const auto last = current.sends + 1 >= current.rule->max_attempts;
-    if (current.rule->kind == request_kind::at_most_once || last) {
-        return left;
-    }
-    const auto usual = expected_finish(view, {}, now);
-    return std::min(left, std::max(left / 2, usual * 3));
-}
-
 auto request_router::may_repeat(flow& current, attempt_end end, instant now) -> bool {
     const auto not_run = end == attempt_end::not_sent || end == attempt_end::shed || end == attempt_end::misdirected;
     if (current.gone || now + least_useful >= current.deadline) {
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -60,7 +60,6 @@
     auto exchange(flow& current, const known_target& target, const http_request& request, instant until)
         -> boost::asio::awaitable<attempt_end>;
     auto judge(flow& current) -> attempt_end;
-    auto attempt_limit(const flow& current, const target_view& view, instant now) const -> duration;
     auto may_repeat(flow& current, attempt_end end, instant now) -> bool;
     auto note_size(const std::string& rule, std::size_t bytes) -> void;
     auto deliver(server_connection& link, flow& current) -> boost::asio::awaitable<bool>;
--- a/src/teaselcross/gateway/store_access.cpp
+++ b/src/teaselcross/gateway/store_access.cpp
@@ -14,10 +14,8 @@
 constexpr auto call_timeout = duration{std::chrono::milliseconds{700}}; // The store answers in some 4 ms.
 /// Between two direct tries while the store refuses this instance.
 constexpr auto direct_retry = duration{std::chrono::milliseconds{400}};
-/// A watch that went silent is noticed after it; the waits themselves cost one call each.
-constexpr auto watch_wait = duration{std::chrono::milliseconds{2500}};
-/// Changes that come together are fetched together.
-constexpr auto watch_pause = duration{std::chrono::milliseconds{25}};
+/// Each wait costs a call. A connection that went silent is noticed sooner, by its keep-alive.
+constexpr auto watch_wait = duration{std::chrono::milliseconds{9000}};
 /// A watch that hangs tells nothing, so a cheap read asks now and then whether the store still answers.
 constexpr auto probe_interval = duration{std::chrono::milliseconds{500}};
 /// What is decided on meanwhile must be known within two seconds.
@@ -141,7 +139,8 @@
 }
 
 /// Watches until the history is lost.
-auto watch_from(store_access& store, const std::string& kind, std::uint64_t at, const follower_events& events)
+auto watch_from(store_access& store, const std::string& kind, std::uint64_t at, const follower_events& events,
+                duration pause)
     -> boost::asio::awaitable<void> {
     while (true) {
         auto call =
@@ -160,7 +159,7 @@
             events.changed(object);
         }
         if (!reply.objects.empty()) {
-            co_await pause_for(watch_pause);
+            co_await pause_for(pause);
         }
     }
 }
@@ -188,7 +187,7 @@
     }
 }
 
-auto follow(store_access& store, std::string kind, const follower_events& events)
+auto follow(store_access& store, std::string kind, const follower_events& events, duration pause)
     -> boost::asio::awaitable<void> {
     while (true) {
         const auto list = co_await list_all(store, kind);
@@ -197,7 +196,7 @@
             continue;
         }
         events.listed(list->objects);
-        co_await watch_from(store, kind, list->version, events);
+        co_await watch_from(store, kind, list->version, events, pause);
     }
 }
 
--- a/src/teaselcross/gateway/store_access.h
+++ b/src/teaselcross/gateway/store_access.h
@@ -57,8 +57,10 @@
     std::function<void(const store_object&)> changed;              ///< One object changed or was removed.
 };
 
-/// Lists the objects under @a kind and watches them until the loop ends. @a events must outlive it.
-auto follow(store_access& store, std::string kind, const follower_events& events) -> boost::asio::awaitable<void>;
+/// Lists the objects under @a kind and watches them until the loop ends. Changes that come within @a pause are fetched
+/// together. @a events must outlive it.
+auto follow(store_access& store, std::string kind, const follower_events& events, duration pause)
+    -> boost::asio::awaitable<void>;
 
 /// Lists the objects under @a kind through other instances while the store does not answer this one. A watch that
 /// hangs then would hide the changes until it times out.
--- a/src/teaselcross/http/connection_pool.cpp
+++ b/src/teaselcross/http/connection_pool.cpp
@@ -62,6 +62,10 @@
     }
     ++m_opened;
     guard_against_silence(opened->stream.socket(), m_options.user_timeout);
+    if (m_options.reset_on_close) {
+        auto ignored = boost::system::error_code{};
+        opened->stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+    }
     co_return std::move(opened);
 }
 
--- a/src/teaselcross/http/connection_pool.h
+++ b/src/teaselcross/http/connection_pool.h
@@ -43,6 +43,8 @@
     duration idle_limit = std::chrono::seconds{5}; ///< Unused for longer, a connection may have gone silent.
     duration user_timeout = std::chrono::seconds{2}; ///< Unacknowledged data ends the connection after this.
     std::size_t idle_per_peer = 64;
+    /// Closing resets the connection, so that bytes still on their way, as behind a partition, never arrive.
+    bool reset_on_close = false;
 };
 
 /// Connections of one thread. Not thread safe.
