Compare what instances know with the controller, end intake before the stop's last seconds

Change: followers keep a digest, the controller's answers to reports confirm it, a difference lists anew; intake ends 2.8 s after the signal.

--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -117,8 +117,15 @@
     const auto answer = co_await whole_exchange(m_peer_pool, std::move(peer), std::move(request), peer_timeout,
                                                 largest_peer_body);
     m_holder_refuses = !answer && answer.error() == exchange_error::refused;
-    if (answer && !answer->body().empty()) {
-        m_last_heard = monotonic_now();
+    if (!answer || answer->body().empty()) {
+        co_return;
+    }
+    m_last_heard = monotonic_now();
+    try {
+        m_confirmed = {.at = m_last_heard,
+                       .digests = json::parse(answer->body()).get<std::map<std::string, std::uint64_t>>()};
+    } catch (const json::exception& fault) {
+        log::warning("confirmation_unreadable", {{"fault", fault.what()}});
     }
 }
 
@@ -573,7 +580,7 @@
     } catch (const json::exception& fault) {
         log::warning("report_unreadable", {{"fault", fault.what()}});
     }
-    return "taken";
+    return json(m_digests ? m_digests() : std::map<std::string, std::uint64_t>{}).dump();
 }
 
 auto controller::stop() -> asio::awaitable<void> {
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -54,6 +54,17 @@
 
     auto controls() const -> bool { return m_controls; }
 
+    /// What the controller said last of what it knows.
+    struct confirmation {
+        instant at{};
+        std::map<std::string, std::uint64_t> digests; ///< By kind of object.
+    };
+    auto confirmed() const -> const confirmation& { return m_confirmed; }
+    /// Sets where the digests come from that this instance tells as controller.
+    auto set_digests(std::function<std::map<std::string, std::uint64_t>()> digests) -> void {
+        m_digests = std::move(digests);
+    }
+
 private:
     struct service_control {
         range_grantor grantor;
@@ -119,6 +130,8 @@
     std::uint64_t m_writes = 0;
     std::map<service_id, service_control> m_services;
     std::map<target_id, target_speed> m_speeds;
+    confirmation m_confirmed;
+    std::function<std::map<std::string, std::uint64_t>()> m_digests;
 };
 
 } // namespace teaselcross
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -26,13 +26,22 @@
 
 constexpr auto housekeeping_interval = duration{std::chrono::milliseconds{100}};
 constexpr auto settings_interval = duration{std::chrono::seconds{2}}; ///< The file may change without a signal.
-/// The balancer asks once a second and takes an instance out after two misses; callers come until then.
-constexpr auto callers_leave_after = duration{std::chrono::milliseconds{2600}};
+/// The balancer asks once a second and takes an instance out after two misses; callers come until then. What comes
+/// later than three seconds after the signal may not be answered in time.
+constexpr auto callers_leave_after = duration{std::chrono::milliseconds{2800}};
 /// Before the platform kills the process, everything has ended.
 constexpr auto stop_margin = duration{std::chrono::milliseconds{500}};
 /// Requests for keys that move wait for the news; the rest has two seconds to take effect everywhere.
 constexpr auto key_map_pause = duration{std::chrono::milliseconds{20}};
 constexpr auto entry_pause = duration{std::chrono::milliseconds{200}};
+/// Between two looks at whether others know the same.
+constexpr auto compare_interval = duration{std::chrono::milliseconds{100}};
+/// What the controller said is news for so long: somewhat more than two of its answers.
+constexpr auto confirmation_life = duration{std::chrono::milliseconds{1000}};
+/// News reaches instances at different moments; a difference that lasts longer is a watch that hangs.
+constexpr auto disagreement_patience = duration{std::chrono::milliseconds{600}};
+/// Between two lists while nobody confirms what is known; changes must take effect within two seconds.
+constexpr auto refresh_interval = duration{std::chrono::milliseconds{900}};
 constexpr auto internal_body_limit = 4U * 1024 * 1024;
 
 auto read_file(const std::string& name) -> std::optional<std::string> {
@@ -68,6 +77,9 @@
     auto server_for(const endpoint& address, request_handler handler) -> std::unique_ptr<http_server>;
     auto answer_readiness(server_connection& link, http_request request) -> asio::awaitable<bool>;
     auto is_ready() const -> bool;
+    auto add_follower(const char* kind, follower_events events, duration pause) -> void;
+    auto digests() const -> std::map<std::string, std::uint64_t>;
+    auto compare_knowledge() -> asio::awaitable<void>;
     auto follow_all() -> void;
     auto target_events() -> follower_events;
     auto route_events() -> follower_events;
@@ -97,7 +109,7 @@
     std::unique_ptr<http_server> m_readiness;
     std::unique_ptr<http_server> m_internal;
     asio::signal_set m_signals;
-    std::vector<std::pair<std::string, follower_events>> m_followed;
+    std::vector<std::unique_ptr<store_follower>> m_followed;
     std::map<std::string, std::string> m_faulty; ///< Entries that could not be read, so that each is logged once.
     bool m_stopping = false;
     bool m_was_ready = false;
@@ -135,6 +147,7 @@
     m_readiness->start();
     m_internal->start();
     watch_signals();
+    m_control.set_digests([this] { return digests(); });
     follow_all();
     spawn(keep_instances(m_options, m_known, m_store, m_birth));
     spawn(probe_store(m_store, platform::kinds::routes_object));
@@ -294,16 +307,52 @@
             .changed = [this](const store_object& object) { take_keys(object); }};
 }
 
+auto gateway::add_follower(const char* kind, follower_events events, duration pause) -> void {
+    m_followed.push_back(std::make_unique<store_follower>(m_store, kind, std::move(events), pause));
+}
+
+auto gateway::digests() const -> std::map<std::string, std::uint64_t> {
+    auto known = std::map<std::string, std::uint64_t>{};
+    for (const auto& each : m_followed) {
+        if (each->listed()) {
+            known[each->kind()] = each->digest();
+        }
+    }
+    return known;
+}
+
+/// Lists a kind anew when this instance knows other versions than the controller, or when nobody confirms what it
+/// knows: watches tell nothing while the store withholds changes from them.
+auto gateway::compare_knowledge() -> asio::awaitable<void> {
+    auto next_refresh = std::map<std::string, instant>{};
+    while (true) {
+        co_await pause_for(compare_interval);
+        const auto now = monotonic_now();
+        const auto& confirmed = m_control.confirmed();
+        for (const auto& each : m_followed) {
+            const auto found = confirmed.digests.find(each->kind());
+            const auto confirms = !m_control.controls() && now - confirmed.at < confirmation_life;
+            if (confirms && found != confirmed.digests.end() && found->second == each->digest()) {
+                next_refresh[each->kind()] = now + disagreement_patience;
+            }
+            if (now >= next_refresh[each->kind()]) {
+                next_refresh[each->kind()] = now + refresh_interval;
+                const auto listed = co_await each->refresh();
+                log::debug("knowledge_refreshed", {{"kind", each->kind()}, {"listed", listed}});
+            }
+        }
+    }
+}
+
 auto gateway::follow_all() -> void {
-    m_followed.emplace_back(platform::kinds::targets, target_events());
-    m_followed.emplace_back(platform::kinds::routes, route_events());
-    m_followed.emplace_back(platform::kinds::taken_out, taken_out_events());
-    m_followed.emplace_back(platform::kinds::key_maps, key_map_events());
-    for (const auto& [kind, events] : m_followed) {
-        const auto urgent = kind == platform::kinds::key_maps;
-        spawn(follow(m_store, kind, events, urgent ? key_map_pause : entry_pause));
-        spawn(follow_through_peers(m_store, kind, events));
+    add_follower(platform::kinds::targets, target_events(), entry_pause);
+    add_follower(platform::kinds::routes, route_events(), entry_pause);
+    add_follower(platform::kinds::taken_out, taken_out_events(), entry_pause);
+    add_follower(platform::kinds::key_maps, key_map_events(), key_map_pause);
+    for (const auto& each : m_followed) {
+        spawn(each->run());
     }
+    spawn(compare_knowledge());
 }
 
 auto gateway::keep_house() -> asio::awaitable<void> {
@@ -363,15 +412,11 @@
     m_callers->wind_down();
     co_await m_control.stop();
     const auto until = began + m_options.grace - stop_margin;
-    while (monotonic_now() < until) {
-        const auto quiet = m_callers->busy() == 0 && m_callers->connections() == 0;
-        if (quiet && monotonic_now() >= began + callers_leave_after) {
-            break;
-        }
+    while (monotonic_now() < began + callers_leave_after) {
         co_await pause_for(housekeeping_interval / 2);
     }
     m_callers->stop();
-    while (m_callers->busy() > 0 && monotonic_now() < until + stop_margin / 2) {
+    while (m_callers->busy() > 0 && monotonic_now() < until) {
         co_await pause_for(housekeeping_interval / 5);
     }
     log::info("stopped", {{"busy", m_callers->busy()}});
--- a/src/teaselcross/gateway/store_access.cpp
+++ b/src/teaselcross/gateway/store_access.cpp
@@ -1,5 +1,6 @@
 #include "gateway/store_access.h"
 
+#include "core/rendezvous.h"
 #include "logging/log.h"
 #include "runtime/clock.h"
 
@@ -18,8 +19,6 @@
 constexpr auto watch_wait = duration{std::chrono::milliseconds{9000}};
 /// A watch that hangs tells nothing, so a cheap read asks now and then whether the store still answers.
 constexpr auto probe_interval = duration{std::chrono::milliseconds{500}};
-/// What is decided on meanwhile must be known within two seconds.
-constexpr auto peer_list_interval = duration{std::chrono::milliseconds{500}};
 constexpr auto retry_pause = duration{std::chrono::milliseconds{120}};
 
 } // namespace
@@ -114,68 +113,114 @@
 
 namespace {
 
+auto digest_of(const std::string& key, std::uint64_t version) -> std::uint64_t {
+    return rendezvous_weight(version, key);
+}
+
+} // namespace
+
+store_follower::store_follower(store_access& store, std::string kind, follower_events events, duration pause)
+    : m_store{store}, m_kind{std::move(kind)}, m_events{std::move(events)}, m_pause{pause} {}
+
 /// Reads all pages. Nothing when the store could not be read.
-auto list_all(store_access& store, const std::string& kind)
-    -> boost::asio::awaitable<std::optional<store_reply>> {
+auto store_follower::list_all() -> boost::asio::awaitable<std::optional<store_reply>> {
     auto whole = store_reply{};
     auto after = std::string{};
     while (true) {
-        auto call = store_call{.kind = store_call_kind::list, .key = kind, .after_key = after};
-        auto page = co_await store.read(std::move(call));
+        auto call = store_call{.kind = store_call_kind::list, .key = m_kind, .after_key = after};
+        auto page = co_await m_store.read(std::move(call));
         if (page.status != store_status::ok) {
             co_return std::nullopt;
         }
         // The first page's revision: what changed while later pages were read is watched again.
         whole.version = whole.objects.empty() ? page.version : whole.version;
+        const auto last = page.objects.empty() ? std::string{} : page.objects.back().key;
         std::move(page.objects.begin(), page.objects.end(), std::back_inserter(whole.objects));
-        if (!page.more || page.objects.empty()) {
+        if (!page.more || last.empty()) {
             break;
         }
-        after = whole.objects.back().key;
+        after = last;
     }
     std::erase_if(whole.objects, [](const auto& object) { return object.removed; });
     whole.status = store_status::ok;
     co_return whole;
 }
 
+auto store_follower::take_list(const store_reply& list) -> void {
+    if (list.version < m_at) {
+        return; // A relayed answer that is older than what is known.
+    }
+    m_at = list.version;
+    m_versions.clear();
+    m_digest = 0;
+    for (const auto& object : list.objects) {
+        m_versions[object.key] = object.version;
+        m_digest ^= digest_of(object.key, object.version);
+    }
+    m_events.listed(list.objects);
+}
+
+auto store_follower::take_event(const store_object& object) -> void {
+    const auto known = m_versions.find(object.key);
+    if (known != m_versions.end()) {
+        if (object.version < known->second) {
+            return; // A refresh was faster than the watch.
+        }
+        m_digest ^= digest_of(object.key, known->second);
+        m_versions.erase(known);
+    }
+    if (!object.removed) {
+        m_versions[object.key] = object.version;
+        m_digest ^= digest_of(object.key, object.version);
+    }
+    m_events.changed(object);
+}
+
+auto store_follower::refresh() -> boost::asio::awaitable<bool> {
+    if (m_refreshing) {
+        co_return false;
+    }
+    m_refreshing = true;
+    const auto list = co_await list_all();
+    m_refreshing = false;
+    if (list) {
+        take_list(*list);
+    }
+    co_return list.has_value();
+}
+
 /// Watches until the history is lost.
-auto watch_from(store_access& store, const std::string& kind, std::uint64_t at, const follower_events& events,
-                duration pause)
-    -> boost::asio::awaitable<void> {
+auto store_follower::watch() -> boost::asio::awaitable<void> {
     while (true) {
-        auto call =
-            store_call{.kind = store_call_kind::watch, .key = kind, .after = at, .wait = watch_wait};
-        auto reply = co_await store.read(std::move(call));
+        const auto from = m_at;
+        auto call = store_call{.kind = store_call_kind::watch, .key = m_kind, .after = from, .wait = watch_wait};
+        const auto reply = co_await m_store.read(std::move(call));
         if (reply.status == store_status::history_lost) {
-            log::info("store_history_lost", {{"kind", kind}, {"after", at}});
+            log::info("store_history_lost", {{"kind", m_kind}, {"after", from}});
             co_return;
         }
         if (reply.status != store_status::ok) {
             co_await pause_for(retry_pause);
             continue;
         }
-        at = std::max(at, reply.version);
         for (const auto& object : reply.objects) {
-            events.changed(object);
+            take_event(object);
         }
+        m_at = std::max(m_at, reply.version);
         if (!reply.objects.empty()) {
-            co_await pause_for(pause);
+            co_await pause_for(m_pause);
         }
     }
 }
 
-} // namespace
-
-auto follow_through_peers(store_access& store, std::string kind, const follower_events& events)
-    -> boost::asio::awaitable<void> {
+auto store_follower::run() -> boost::asio::awaitable<void> {
     while (true) {
-        co_await pause_for(peer_list_interval);
-        if (store.healthy() || store.last_answer() == instant{}) {
+        const auto listed_now = co_await refresh();
+        if (!listed_now) {
+            co_await pause_for(retry_pause);
             continue;
         }
-        if (const auto list = co_await list_all(store, kind)) {
-            events.listed(list->objects);
-        }
+        co_await watch();
     }
 }
 
@@ -187,17 +232,4 @@
     }
 }
 
-auto follow(store_access& store, std::string kind, const follower_events& events, duration pause)
-    -> boost::asio::awaitable<void> {
-    while (true) {
-        const auto list = co_await list_all(store, kind);
-        if (!list) {
-            co_await pause_for(retry_pause);
-            continue;
-        }
-        events.listed(list->objects);
-        co_await watch_from(store, kind, list->version, events, pause);
-    }
-}
-
 } // namespace teaselcross
