--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -32,7 +32,8 @@
 /// Whether nothing that was sent to the holder of @a range can make it hold the keys any more.
 auto is_free(const range_grantor& state, const key_range& range, const range_progress& progress, instant now)
     -> bool {
-    if (range.next.id == range.holder.id) {
+    const auto other_promise = !progress.promised.id.empty() && progress.promised != range.next;
+    if (range.next.id == range.holder.id && !other_promise) {
         return true;
     }
     if (now < state.moves_from || progress.call_pending) {
@@ -41,6 +42,9 @@
     if (now >= progress.may_hold_until) {
         return true;
     }
+    if (other_promise) {
+        return false; // A release proves nothing about the one that may hold the keys beside the holder.
+    }
     const auto gave_up = progress.released || has_other_life(state, range.holder);
     return gave_up && is_certain(state, range.holder.id, now);
 }
@@ -92,8 +96,12 @@
     if (!listed) {
         return std::nullopt;
     }
+    if (!released_now && progress.given_up) {
+        return std::nullopt; // The move was given another end, whose intent is not recorded yet.
+    }
     progress.call_pending = true;
     if (released_now) {
+        progress.given_up = true;
         return order_for(state, range, order_kind::release, progress);
     }
     // Whatever becomes of this call, the holder may hold the keys as long as if it arrived last.
@@ -207,7 +215,9 @@
     state.owns_record = false;
     for (const auto& range : state.map.ranges) {
         progress_of(state, range) = {.may_hold_until = std::max(moves_from, now + longest_hold(state.options)),
-                                     .next_call = now};
+                                     .next_call = now,
+                                     .given_up = range.moving(),
+                                     .promised = range.next};
     }
 }
 
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -47,6 +47,9 @@
     bool call_pending = false;
     bool released = false;    ///< The holder has answered the release.
     bool confirmed = false;   ///< The holder has answered a grant of this fence.
+    bool given_up = false;    ///< The holder was asked to release, so it is never granted this fence again.
+    /// Whom an earlier controller may have granted the range already, beside the recorded holder.
+    target_life promised;
     std::string handover;     ///< From the last holder, for the next grant.
 };
 
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -120,10 +120,13 @@
     if (!answer || answer->body().empty()) {
         co_return;
     }
-    m_last_heard = monotonic_now();
+    const auto now = monotonic_now();
     try {
-        m_confirmed = {.at = m_last_heard,
-                       .digests = json::parse(answer->body()).get<std::map<std::string, std::uint64_t>>()};
+        const auto said = json::parse(answer->body());
+        m_confirmed = {.at = now, .digests = said.at("digests").get<std::map<std::string, std::uint64_t>>()};
+        if (said.at("leads").get<bool>()) {
+            m_last_heard = now; // Otherwise the store does not answer it, and somebody else should lead.
+        }
     } catch (const json::exception& fault) {
         log::warning("confirmation_unreadable", {{"fault", fault.what()}});
     }
@@ -266,6 +269,9 @@
         return false;
     }
     for (const auto& [service, state] : m_services) {
+        if (state.grantor.changed || state.grantor.writing) {
+            return false; // The record names holders that have changed since.
+        }
         for (const auto& [id, answers] : state.grantor.answers) {
             if (answers.uncertain_until > now) {
                 return false;
@@ -580,7 +586,8 @@
     } catch (const json::exception& fault) {
         log::warning("report_unreadable", {{"fault", fault.what()}});
     }
-    return json(m_digests ? m_digests() : std::map<std::string, std::uint64_t>{}).dump();
+    const auto digests = m_digests ? m_digests() : std::map<std::string, std::uint64_t>{};
+    return json{{"leads", holds_lease(m_lease, monotonic_now())}, {"digests", digests}}.dump();
 }
 
 auto controller::stop() -> asio::awaitable<void> {
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -36,6 +36,8 @@
 constexpr auto owner_failures = 2U;
 /// Cost of a kilobyte from another data centre, as waiting time: bytes between data centres are dear.
 constexpr auto kilobyte_cost = duration{std::chrono::microseconds{600}};
+/// A target whose address another one has is avoided until the list has caught up.
+constexpr auto address_reused_pause = duration{std::chrono::seconds{2}};
 constexpr auto least_retry_after = duration{std::chrono::milliseconds{40}};
 /// Part of a target's connection limit that instances use together; the rest is for connections that close.
 constexpr auto connection_share = 0.85;
@@ -87,6 +89,7 @@
     bool gone = false;
     duration retry_after{};
     target_id last_target;
+    std::optional<std::uint64_t> stale_revision; ///< Of the key map that led to a target without the key.
     bool without_body = false;
 };
 
@@ -205,6 +208,9 @@
         return {.reason = refusal::no_owner, .retry_after = owner_lost_retry};
     }
     auto owner = m_known.target(range->holder.id);
+    if (current.stale_revision == map->revision) {
+        return {.reason = refusal::no_owner, .worth_waiting = true, .retry_after = owner_wait};
+    }
     const auto lives = owner != nullptr && owner->view.listed.birth == range->holder.birth;
     const auto silent = !lives || (now < owner->view.avoid_until && owner->view.failures >= owner_failures);
     if (range->moving() || silent) {
@@ -290,6 +296,10 @@
     }
     if (keyed) {
         current.tried.clear();
+        if (end == attempt_end::misdirected) {
+            const auto map = m_known.keys(current.service);
+            current.stale_revision = map == nullptr ? 0 : map->revision;
+        }
     }
     if (current.sends == 0) {
         return true; // Nothing has arrived anywhere yet.
@@ -332,6 +342,11 @@
         break;
     }
     on_ended(view, result, now - started, {}, now);
+    if (end == attempt_end::misdirected && current.said_by_target.target != view.listed.id.value()) {
+        // Another target has its address: it has ended, whatever the list still says.
+        view.failures = owner_failures;
+        view.avoid_until = now + address_reused_pause;
+    }
     m_measured.count(counter::attempts);
     if (end != attempt_end::answered && end != attempt_end::withdrawn) {
         log::info("send_failed", {{"id", current.said.id},
