Let most instances' reports stand for a lapsed lease, so that a successor waits five seconds, not twelve

Change: a controller without the lease orders only while most instances report to it; a successor wins them over. Holds of 3.4 s, renewed each 0.8 s.

--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -22,8 +22,8 @@
 namespace teaselcross {
 
 struct grantor_options {
-    duration hold = std::chrono::milliseconds{4500}; ///< Of one grant; outlives a change of the controller.
-    duration renewal = std::chrono::milliseconds{1200};
+    duration hold = std::chrono::milliseconds{3400}; ///< Of one grant; outlives a change of the controller.
+    duration renewal = std::chrono::milliseconds{800};
     duration retry = std::chrono::milliseconds{120};         ///< After a grant without an answer.
     duration call_timeout = std::chrono::milliseconds{500};  ///< A call is cut off then, so it cannot arrive later.
     duration release_timeout = std::chrono::milliseconds{2000}; ///< A release waits for the work on the keys.
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -74,7 +74,8 @@
                   {.connect_timeout = peer_timeout,
                    .idle_limit = std::chrono::seconds{20},
                    .user_timeout = std::chrono::milliseconds{800},
-                   .idle_per_peer = 2}} {
+                   .idle_per_peer = 2,
+                   .reset_on_close = true}} {
     m_lease.self = self();
     m_lease.options = m_limits.lease;
 }
@@ -223,6 +224,13 @@
         asio::co_spawn(m_executor, settle(before->holder, m_term), asio::detached);
     }
     m_controls = true;
+    m_reporters.clear();
+    m_won_over.clear();
+    for (const auto& each : m_known.instances()) {
+        if (each.name != m_options.instance) {
+            asio::co_spawn(m_executor, win_over(each, m_term), asio::detached);
+        }
+    }
     log::info("controller_began", {{"term", m_term},
                                    {"before", before ? before->holder.value() : std::string{"none"}},
                                    {"resigned", name_in(resignation_names, resigned)},
@@ -245,6 +253,57 @@
     }
 }
 
+auto controller::is_majority(std::size_t count) const -> bool {
+    // One more than half: two instances may know of slightly different fleets.
+    return 2 * count > m_known.fleet_size() + 1;
+}
+
+auto controller::is_recognised(instant now) const -> bool {
+    const auto fresh = std::count_if(m_reporters.begin(), m_reporters.end(), [this, now](const auto& entry) {
+        return now - entry.second < m_limits.recognition;
+    });
+    return is_majority(static_cast<std::size_t>(fresh) + 1);
+}
+
+/// Tells @a peer of the new term until it answers. Once most have, no earlier controller is recognised for long.
+auto controller::win_over(instance_record peer, std::uint64_t term) -> asio::awaitable<void> {
+    while (m_controls && m_term == term && m_lease.seen) {
+        auto request = post(controller_paths::recognise, peer.internal, to_json(*m_lease.seen).dump());
+        auto address = peer.internal;
+        const auto answer = co_await whole_exchange(m_peer_pool, std::move(address), std::move(request),
+                                                    peer_timeout, largest_peer_body);
+        if (!m_controls || m_term != term) {
+            co_return;
+        }
+        if (answer && answer->result() == http::status::ok) {
+            m_won_over.insert(peer.name);
+            if (is_majority(m_won_over.size() + 1)) {
+                const auto last_report = monotonic_now() + peer_timeout + m_limits.recognition;
+                set_moves_from(std::min(m_moves_from, last_report + hold_bound({})));
+            }
+            co_return;
+        }
+        co_await pause_for(m_limits.report_interval);
+    }
+}
+
+auto controller::on_recognise(const std::string& body) -> std::string {
+    try {
+        const auto object = lease_object_from_json(json::parse(body));
+        if (!m_lease.seen || object.epoch > m_lease.seen->epoch) {
+            if (m_controls) {
+                end("another instance has the lease");
+            }
+            on_lease_read(m_lease, object, 0, monotonic_now());
+            m_lease.read = false; // Its version in the store is not known.
+            m_last_heard = monotonic_now();
+        }
+    } catch (const json::exception& fault) {
+        log::warning("lease_unreadable", {{"fault", fault.what()}});
+    }
+    return {};
+}
+
 auto controller::ask_to_resign(instance_id holder) -> asio::awaitable<resignation> {
     auto address = std::optional<endpoint>{};
     for (const auto& each : m_known.instances()) {
@@ -305,7 +364,8 @@
 
 auto controller::may_order(instant now) const -> bool {
     return m_controls &&
-           (holds_lease(m_lease, now) || now < m_last_renewal + m_limits.lease.term + m_limits.afterglow);
+           (holds_lease(m_lease, now) ||
+            (now < m_last_renewal + m_limits.lease.term + m_limits.afterglow && is_recognised(now)));
 }
 
 auto controller::renew() -> asio::awaitable<void> {
@@ -369,7 +429,8 @@
     auto next_sample = m_began;
     while (m_controls && !m_stopping) {
         const auto now = monotonic_now();
-        if (!may_order(now)) {
+        // Reports come a moment after a term has begun.
+        if (!may_order(now) && now - m_last_renewal > m_limits.lease.term) {
             end("the lease ran out");
             break;
         }
@@ -557,7 +618,7 @@
             speeds[id.value()] = static_cast<std::int64_t>(known->view.service_us);
         }
     }
-    return {{"keys", std::move(keys)}, {"speeds", std::move(speeds)}};
+    return {{"from", m_options.instance}, {"keys", std::move(keys)}, {"speeds", std::move(speeds)}};
 }
 
 auto controller::take_report(const json& report, instant now) -> void {
@@ -582,7 +643,9 @@
         return {};
     }
     try {
-        take_report(json::parse(body), monotonic_now());
+        const auto report = json::parse(body);
+        m_reporters[report.at("from").get<std::string>()] = monotonic_now();
+        take_report(report, monotonic_now());
     } catch (const json::exception& fault) {
         log::warning("report_unreadable", {{"fault", fault.what()}});
     }
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -14,13 +14,16 @@
 namespace controller_paths {
 constexpr auto report = "/controller/report";
 constexpr auto resign = "/controller/resign";
+constexpr auto recognise = "/controller/recognise";
 } // namespace controller_paths
 
 struct controller_options {
-    lease_options lease{.term = std::chrono::milliseconds{2000}, .renewal = std::chrono::milliseconds{600}};
-    /// A controller that the store does not answer goes on renewing grants that long after its lease ran out, since
-    /// nobody may be able to take it; a successor moves no keys before that.
-    duration afterglow = std::chrono::seconds{5};
+    lease_options lease{.term = std::chrono::milliseconds{1500}, .renewal = std::chrono::milliseconds{500}};
+    /// A controller whose lease ran out, because the store does not answer it, goes on renewing grants while most
+    /// instances report to it, and no longer than this. A successor first wins most instances over, or waits.
+    duration afterglow = std::chrono::seconds{10};
+    /// A report counts for so long.
+    duration recognition = std::chrono::milliseconds{1200};
     duration tick = std::chrono::milliseconds{40};
     duration report_interval = std::chrono::milliseconds{400};
     duration balance_interval = std::chrono::milliseconds{400};
@@ -52,6 +55,9 @@
     /// A successor asks this instance to stop. The answer tells whether its orders have all been answered.
     auto on_resign_request(const std::string& body) -> std::string;
 
+    /// A successor says that it holds the lease now. From its answer on, this instance reports to nobody older.
+    auto on_recognise(const std::string& body) -> std::string;
+
     auto controls() const -> bool { return m_controls; }
 
     /// What the controller said last of what it knows.
@@ -86,6 +92,9 @@
     auto write_lease(lease_write write) -> boost::asio::awaitable<bool>;
     auto begin(std::optional<lease_object> before) -> boost::asio::awaitable<void>;
     auto settle(instance_id holder, std::uint64_t term) -> boost::asio::awaitable<void>;
+    auto win_over(instance_record peer, std::uint64_t term) -> boost::asio::awaitable<void>;
+    auto is_recognised(instant now) const -> bool;
+    auto is_majority(std::size_t count) const -> bool;
     auto ask_to_resign(instance_id holder) -> boost::asio::awaitable<resignation>;
     auto set_moves_from(instant from) -> void;
     auto certain(instant now) const -> bool;
@@ -121,6 +130,8 @@
     std::uint64_t m_term = 0; ///< Counts the times that this process took control.
     std::uint32_t m_orders_in_flight = 0;
     instant m_last_renewal{};  ///< Start of the last write of the lease that took effect.
+    std::map<std::string, instant> m_reporters; ///< When each instance last reported to this one.
+    std::set<std::string> m_won_over;           ///< Instances that report to nobody older any more.
     instant m_moves_from{};
     instant m_began{}; ///< When the present term began.
     instant m_last_heard{};    ///< When the holder of the lease last answered a report.
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -132,6 +132,8 @@
         response.body() = m_control.on_report(request.body());
     } else if (target == controller_paths::resign && request.method() == http::verb::post) {
         response.body() = m_control.on_resign_request(request.body());
+    } else if (target == controller_paths::recognise && request.method() == http::verb::post) {
+        response.body() = m_control.on_recognise(request.body());
     } else if (target == "/metrics") {
         response.set(http::field::content_type, "text/plain; version=0.0.4");
         response.body() = m_measured.to_text();
