--- a/src/libteaselcross/balance/range_balance.cpp
+++ b/src/libteaselcross/balance/range_balance.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <optional>
 
 namespace teaselcross {
 
@@ -124,22 +125,94 @@
     return {keys, load};
 }
 
+/// A planned cut: how many keys from which end, and their load.
+struct cut {
+    bool front = true;
+    shard_key keys = 0;
+    double load = 0;
+};
+
+auto best_cut(const piece& from, const key_rates& rates, double wanted) -> cut {
+    const auto [front_keys, front_load] = cut_end(from, rates, wanted, true);
+    const auto [back_keys, back_load] = cut_end(from, rates, wanted, false);
+    if (front_load >= back_load) {
+        return {.front = true, .keys = front_keys, .load = front_load};
+    }
+    return {.front = false, .keys = back_keys, .load = back_load};
+}
+
+auto weight_of(const range_grantor& state, const target_id& id) -> double {
+    constexpr auto least_weight = 1e-6;
+    const auto found = state.holders.find(id);
+    return std::max(found == state.holders.end() ? 1.0 : found->second.weight, least_weight);
+}
+
+/// Takes the keys of @a taken off @a from and books them for @a to.
+auto book(plan& made, piece& from, const cut& taken, const key_holder& to) -> planned_move {
+    auto moved = piece{.holder = to.life.id, .load = taken.load, .fixed = true};
+    if (taken.front) {
+        moved.first = from.first;
+        moved.last = from.first + taken.keys - 1;
+        from.first += taken.keys;
+    } else {
+        moved.first = from.last - taken.keys + 1;
+        moved.last = from.last;
+        from.last -= taken.keys;
+    }
+    from.load -= taken.load;
+    made.loads[from.holder] -= taken.load;
+    made.loads[to.life.id] += taken.load;
+    made.pieces.push_back(moved);
+    return {.first = moved.first, .last = moved.last, .to = to.life};
+}
+
+/// A piece that cannot be cut, such as one hot key, goes whole to the holder that would bear it best, if that is
+/// clearly better than where it is.
+auto move_whole(const range_grantor& state, plan& made, piece& from, double gain) -> std::optional<planned_move> {
+    const key_holder* best = nullptr;
+    auto least = relative_load(state, made, from.holder) - gain;
+    for (const auto& [id, holder] : state.holders) {
+        const auto answers = state.answers.find(id);
+        const auto silent = answers != state.answers.end() && answers->second.failures > 0;
+        if (!holder.eligible || holder.leaving || silent || id == from.holder) {
+            continue;
+        }
+        const auto after = (made.loads[id] + from.load) / weight_of(state, id);
+        if (after < least) {
+            best = &holder;
+            least = after;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    from.fixed = true;
+    made.loads[from.holder] -= from.load;
+    made.loads[best->life.id] += from.load;
+    from.holder = best->life.id;
+    return planned_move{.first = from.first, .last = from.last, .to = best->life};
+}
+
 } // namespace
 
-auto fade(key_rates& rates, const balance_options& options, instant now) -> void {
+auto fade(key_rates& rates, instant now) -> void {
     const auto passed = static_cast<double>((now - rates.updated).count());
-    const auto factor = static_cast<float>(std::exp(-passed / static_cast<double>(options.memory.count())));
+    const auto memory = static_cast<double>(rates.options.memory.count());
+    const auto factor = static_cast<float>(std::exp(-passed / memory));
     for (auto& rate : rates.rate) {
         rate *= factor;
     }
     rates.updated = now;
 }
 
-auto add_requests(key_rates& rates, const balance_options& options, shard_key key, std::uint32_t count) -> void {
+auto add_requests(key_rates& rates, shard_key key, std::uint32_t count) -> void {
     if (key > last_shard_key) {
         return;
     }
-    const auto memory = std::chrono::duration<float>(options.memory).count();
+    if (rates.since == instant{}) {
+        rates.since = rates.updated;
+    }
+    const auto memory = std::chrono::duration<float>(rates.options.memory).count();
     rates.rate[key] += static_cast<float>(count) / memory;
 }
 
@@ -153,16 +226,18 @@
     }
     return loads;
 }
-
-auto plan_moves(const range_grantor& state, const key_rates& rates, const balance_options& options)
-    -> std::vector<planned_move> {
+auto plan_moves(const range_grantor& state, const key_rates& rates) -> std::vector<planned_move> {
+    const auto& options = rates.options;
     auto moves = std::vector<planned_move>{};
+    if (rates.since == instant{} || rates.updated - rates.since < options.memory / 2) {
+        return moves; // Too early to tell one holder's share from another's.
+    }
     auto made = make_plan(state, rates);
     const auto most_ranges = options.ranges_per_holder * std::max<std::size_t>(state.holders.size(), 1);
     while (moves.size() < options.moves_at_once && made.pieces.size() < most_ranges) {
         auto* from = hottest(state, made);
         const auto* to = coolest(state, made);
-        if (from == nullptr || to == nullptr || from->holder == to->life.id || from->last == from->first) {
+        if (from == nullptr || to == nullptr || from->holder == to->life.id) {
             break;
         }
         const auto empty = holds_nothing(made, to->life.id);
@@ -171,34 +246,22 @@
         if (!empty && (high < options.overload || high - low < options.least_gain)) {
             break;
         }
-        const auto weight_from = std::max(state.holders.contains(from->holder) ? state.holders.at(from->holder).weight : 1.0, 1e-6);
-        const auto weight_to = std::max(to->weight, 1e-6);
-        const auto wanted = (made.loads[from->holder] * weight_to - made.loads[to->life.id] * weight_from) /
-                            (weight_from + weight_to);
-        const auto [front_keys, front_load] = cut_end(*from, rates, wanted, true);
-        const auto [back_keys, back_load] = cut_end(*from, rates, wanted, false);
-        const auto front = front_load >= back_load;
-        const auto keys = front ? front_keys : back_keys;
-        const auto load = front ? front_load : back_load;
-        if (keys == 0 || (!empty && load < options.least_gain * weight_to / 8)) {
-            from->fixed = true;
-            continue;
-        }
-        auto moved = piece{.holder = to->life.id, .load = load, .fixed = true};
-        if (front) {
-            moved.first = from->first;
-            moved.last = from->first + keys - 1;
-            from->first += keys;
+        const auto weight_from = weight_of(state, from->holder);
+        const auto weight_to = weight_of(state, to->life.id);
+        const auto even = (made.loads[from->holder] * weight_to - made.loads[to->life.id] * weight_from) /
+                          (weight_from + weight_to);
+        // No more than it bears: a piece that moves now cannot be divided again at once.
+        const auto room = options.overload * weight_to - made.loads[to->life.id];
+        const auto wanted = std::min(even, std::max(room, even / 4));
+        const auto taken = best_cut(*from, rates, wanted);
+        const auto least_load = options.least_gain * weight_to / 8; // A smaller piece is not worth its renewals.
+        if (taken.keys > 0 && (empty || taken.load >= least_load)) {
+            moves.push_back(book(made, *from, taken, *to));
+        } else if (const auto whole = move_whole(state, made, *from, options.least_gain)) {
+            moves.push_back(*whole);
         } else {
-            moved.first = from->last - keys + 1;
-            moved.last = from->last;
-            from->last -= keys;
+            from->fixed = true;
         }
-        from->load -= load;
-        made.loads[from->holder] -= load;
-        made.loads[to->life.id] += load;
-        moves.push_back({.first = moved.first, .last = moved.last, .to = to->life});
-        made.pieces.push_back(moved);
     }
     return moves;
 }
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -35,10 +35,6 @@
 constexpr auto usual_service_us = 100'000.0;
 constexpr auto largest_peer_body = std::size_t{256} * 1024;
 
-auto lease_key() -> std::string {
-    return std::string{platform::kinds::leases} + "/controller";
-}
-
 auto name_part(const instance_id& holder) -> std::string {
     return holder.value().substr(0, holder.value().rfind('#'));
 }
@@ -134,7 +130,7 @@
 }
 
 auto controller::read_lease() -> asio::awaitable<bool> {
-    auto call = store_call{.kind = store_call_kind::get, .key = lease_key()};
+    auto call = store_call{.kind = store_call_kind::get, .key = platform::kinds::controller_lease};
     const auto reply = co_await m_store.call_directly(std::move(call));
     const auto now = monotonic_now();
     if (reply.status == store_status::missing) {
@@ -156,7 +152,7 @@
 
 auto controller::write_lease(lease_write write) -> asio::awaitable<bool> {
     auto call = store_call{.kind = write.expected_version == 0 ? store_call_kind::create : store_call_kind::update,
-                           .key = lease_key(),
+                           .key = platform::kinds::controller_lease,
                            .value = to_json(write.object).dump(),
                            .expected_version = write.expected_version};
     const auto reply = co_await m_store.call_directly(std::move(call));
@@ -509,20 +505,24 @@
 }
 
 auto controller::balance(const service_id& service, service_control& state, instant now) -> void {
-    const auto options = balance_options{};
-    fade(state.rates, options, now);
     auto& grantor = state.grantor;
-    evict_holders(grantor, range_loads(grantor.map, state.rates), now);
+    for (auto& rates : state.rates) {
+        fade(rates, now);
+    }
+    evict_holders(grantor, range_loads(grantor.map, state.rates.front()), now);
     if (now < m_moves_from) {
         return;
     }
-    for (const auto& move : plan_moves(grantor, state.rates, options)) {
-        log::info("range_moves", {{"service", service},
-                                  {"first", move.first},
-                                  {"last", move.last},
-                                  {"to", move.to.id}});
-        m_measured.count(counter::ranges_moved);
-        start_move(grantor, move.first, move.last, move.to);
+    for (const auto& rates : state.rates) {
+        for (const auto& move : plan_moves(grantor, rates)) {
+            log::info("range_moves", {{"service", service},
+                                      {"first", move.first},
+                                      {"last", move.last},
+                                      {"to", move.to.id},
+                                      {"rates_over_ms", rates.options.memory.count() / 1000}});
+            m_measured.count(counter::ranges_moved);
+            start_move(grantor, move.first, move.last, move.to);
+        }
     }
 }
 
@@ -623,12 +623,12 @@
 
 auto controller::take_report(const json& report, instant now) -> void {
     constexpr auto smoothing = 0.1; // Weight of one instance's word on a target's speed.
-    const auto options = balance_options{};
     for (const auto& [service, counts] : report.at("keys").items()) {
-        auto& rates = m_services[service_id{service}].rates;
-        fade(rates, options, now);
-        for (const auto& entry : counts) {
-            add_requests(rates, options, entry.at(0).get<shard_key>(), entry.at(1).get<std::uint32_t>());
+        for (auto& rates : m_services[service_id{service}].rates) {
+            fade(rates, now);
+            for (const auto& entry : counts) {
+                add_requests(rates, entry.at(0).get<shard_key>(), entry.at(1).get<std::uint32_t>());
+            }
         }
     }
     for (const auto& [target, service_us] : report.at("speeds").items()) {
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -8,6 +8,9 @@
 #include "gateway/store_access.h"
 #include "ownership/lease.h"
 
+#include <array>
+#include <set>
+
 namespace teaselcross {
 
 /// Paths of calls to the controller on the internal port.
@@ -74,7 +77,8 @@
 private:
     struct service_control {
         range_grantor grantor;
-        key_rates rates;
+        /// Over a moment, for hot keys, and over a while, for holders that are slower than others.
+        std::array<key_rates, 2> rates{key_rates{.options = sudden_heat}, key_rates{.options = lasting_load}};
         instant next_balance{};
         instant next_write{};
         bool loaded = false;
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -35,7 +35,7 @@
 /// Failures in a row after which the owner of a key is taken to be unreachable for a moment.
 constexpr auto owner_failures = 2U;
 /// Cost of a kilobyte from another data centre, as waiting time: bytes between data centres are dear.
-constexpr auto kilobyte_cost = duration{std::chrono::microseconds{600}};
+constexpr auto kilobyte_cost = duration{std::chrono::microseconds{2500}};
 /// A target whose address another one has is avoided until the list has caught up.
 constexpr auto address_reused_pause = duration{std::chrono::seconds{2}};
 constexpr auto least_retry_after = duration{std::chrono::milliseconds{40}};
