Follow the store through one relay a data centre

Change: the strongest instance of a data centre follows the store, the others follow it by long polls that carry changes; one that does not answer is left for the store. The strongest instances also go first for the lease.

--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -1,6 +1,5 @@
 #include "gateway/controller.h"
 
-#include "core/rendezvous.h"
 #include "logging/log.h"
 #include "platform/messages.h"
 #include "runtime/clock.h"
@@ -175,11 +174,13 @@
         co_return;
     }
     const auto before = m_lease.seen;
-    const auto item = hash_text("controller");
-    const auto own = rendezvous_weight(item, m_options.instance);
-    const auto ahead = std::count_if(m_known.instances().begin(), m_known.instances().end(), [&](const auto& each) {
-        return each.name != m_options.instance && rendezvous_weight(item, each.name) > own;
-    });
+    auto ahead = std::ptrdiff_t{0};
+    for (const auto& each : m_known.strongest("controller")) {
+        if (each.name == m_options.instance) {
+            break;
+        }
+        ++ahead;
+    }
     const auto earlier_self = before && name_part(before->holder) == m_options.instance;
     const auto write = next_lease_write(m_lease, ahead < eager_candidates, m_holder_refuses || earlier_self,
                                         monotonic_now());
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/peers.h"
+#include "gateway/store_follower.h"
 #include "logging/log.h"
 #include "platform/messages.h"
 #include "platform/records.h"
@@ -79,6 +80,7 @@
     auto is_ready() const -> bool;
     auto add_follower(const char* kind, follower_events events, duration pause) -> void;
     auto digests() const -> std::map<std::string, std::uint64_t>;
+    auto start_following() -> asio::awaitable<void>;
     auto compare_knowledge() -> asio::awaitable<void>;
     auto follow_all() -> void;
     auto target_events() -> follower_events;
@@ -149,7 +151,6 @@
     watch_signals();
     m_control.set_digests([this] { return digests(); });
     follow_all();
-    spawn(keep_instances(m_options, m_known, m_store, m_birth));
     spawn(probe_store(m_store, platform::kinds::routes_object));
     spawn(m_control.run());
     spawn(keep_house());
@@ -308,7 +309,19 @@
 }
 
 auto gateway::add_follower(const char* kind, follower_events events, duration pause) -> void {
-    m_followed.push_back(std::make_unique<store_follower>(m_store, kind, std::move(events), pause));
+    auto options = follower_options{.kind = kind, .pause = pause};
+    m_followed.push_back(std::make_unique<store_follower>(m_store, m_known, m_options, executor(),
+                                                          std::move(options), std::move(events)));
+}
+
+/// Follows once the other instances are known, so that only relays ask the store.
+auto gateway::start_following() -> asio::awaitable<void> {
+    co_await find_instances(m_options, m_known, m_store, m_birth);
+    for (const auto& each : m_followed) {
+        spawn(each->run());
+    }
+    spawn(keep_instances(m_known, m_store));
+    spawn(compare_knowledge());
 }
 
 auto gateway::digests() const -> std::map<std::string, std::uint64_t> {
@@ -331,8 +344,10 @@
         const auto& confirmed = m_control.confirmed();
         for (const auto& each : m_followed) {
             const auto found = confirmed.digests.find(each->kind());
-            const auto confirms = !m_control.controls() && now - confirmed.at < confirmation_life;
-            if (confirms && found != confirmed.digests.end() && found->second == each->digest()) {
+            const auto heard = !m_control.controls() && now - confirmed.at < confirmation_life;
+            const auto agrees = found != confirmed.digests.end() && found->second == each->digest();
+            // One that follows a relay relies on it, unless the controller knows otherwise.
+            if ((heard && agrees) || (!heard && !m_control.controls() && !each->is_direct())) {
                 next_refresh[each->kind()] = now + disagreement_patience;
             }
             if (now >= next_refresh[each->kind()]) {
@@ -350,9 +365,9 @@
     add_follower(platform::kinds::taken_out, taken_out_events(), entry_pause);
     add_follower(platform::kinds::key_maps, key_map_events(), key_map_pause);
     for (const auto& each : m_followed) {
-        spawn(each->run());
+        m_peers.add_follower(*each);
     }
-    spawn(compare_knowledge());
+    spawn(start_following());
 }
 
 auto gateway::keep_house() -> asio::awaitable<void> {
--- a/src/teaselcross/gateway/gateway_settings.h
+++ b/src/teaselcross/gateway/gateway_settings.h
@@ -20,6 +20,7 @@
     std::uint16_t first_internal_port = 0; ///< For other instances.
     std::uint16_t last_internal_port = 0;
     endpoint store;
+    double processor = 1; ///< Share of a core; stronger instances work for others.
     double store_writes_per_second = 100; ///< Of all instances together.
 
     double retry_ratio = 0.2;  ///< Extra sends for each request, of all instances.
--- a/src/teaselcross/gateway/knowledge.cpp
+++ b/src/teaselcross/gateway/knowledge.cpp
@@ -4,9 +4,6 @@
 #include "logging/log.h"
 #include "runtime/clock.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 
 namespace teaselcross {
@@ -30,8 +27,7 @@
 } // namespace
 
 knowledge::knowledge(const gateway_settings& options, boost::asio::any_io_executor executor)
-    : m_options{options}, m_change{executor, boost::asio::steady_timer::time_point::max()},
-      m_executor{executor} {}
+    : m_options{options}, m_change{executor} {}
 
 auto knowledge::set_routes(route_table table) -> bool {
     if (table.version <= m_routes->version) {
@@ -199,22 +195,21 @@
     announce();
 }
 
-auto knowledge::keys_changed(duration limit) -> boost::asio::awaitable<void> {
-    // Each waiter looks again on its own clock at the latest; a change wakes it sooner.
-    auto timer = boost::asio::steady_timer{m_executor, limit};
-    auto woken = std::make_shared<bool>(false);
-    m_change.async_wait([&timer, woken](const boost::system::error_code&) {
-        if (!*woken) {
-            timer.cancel();
-        }
-    });
-    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-    *woken = true;
-}
-
 auto knowledge::announce() -> void {
     m_candidates_valid = false;
-    m_change.expires_at(boost::asio::steady_timer::time_point::max());
+    m_change.notify();
+}
+
+auto knowledge::strongest(std::string_view purpose) const -> std::vector<instance_record> {
+    auto sorted = m_instances;
+    const auto item = hash_text(purpose);
+    std::sort(sorted.begin(), sorted.end(), [item](const auto& left, const auto& right) {
+        if (left.processor != right.processor) {
+            return left.processor > right.processor;
+        }
+        return rendezvous_weight(item, left.name) > rendezvous_weight(item, right.name);
+    });
+    return sorted;
 }
 
 auto knowledge::fleet_size() const -> std::size_t {
--- a/src/teaselcross/gateway/knowledge.h
+++ b/src/teaselcross/gateway/knowledge.h
@@ -3,13 +3,11 @@
 // What an instance on the platform believes: configuration, targets, owners of keys, and other instances.
 
 #include "admission/target_view.h"
+#include "gateway/change_signal.h"
 #include "gateway/gateway_settings.h"
 #include "keyspace/key_map.h"
 #include "routing/route_table.h"
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,6 +20,7 @@
     std::string name;
     data_centre_id data_centre;
     endpoint internal;
+    double processor = 0;    ///< Its share of a core.
     std::uint64_t birth = 0; ///< Milliseconds since the Unix epoch at which its process started.
 };
 
@@ -68,10 +67,12 @@
     /// Takes @a map unless it is older than the one known.
     auto set_keys(const service_id& service, key_map map) -> void;
     /// Waits until some key map or target changes, at most for @a limit.
-    auto keys_changed(duration limit) -> boost::asio::awaitable<void>;
+    auto keys_changed(duration limit) -> boost::asio::awaitable<void> { return m_change.wait(limit); }
 
     auto instances() const -> const std::vector<instance_record>& { return m_instances; }
     auto set_instances(std::vector<instance_record> instances) -> void { m_instances = std::move(instances); }
+    /// The instances that should do work for others, the strongest first; the order of equals differs by @a purpose.
+    auto strongest(std::string_view purpose) const -> std::vector<instance_record>;
     /// Instances that share limits, this one included; never 0.
     auto fleet_size() const -> std::size_t;
     /// What this instance may send to the cold target @a id, whose service bears @a rate when cold.
@@ -88,8 +89,7 @@
     std::map<data_centre_id, instant> m_taken_out;
     std::map<service_id, std::shared_ptr<const key_map>> m_keys;
     std::vector<instance_record> m_instances;
-    boost::asio::steady_timer m_change; ///< Waiters sleep on it; a change cancels the sleep.
-    boost::asio::any_io_executor m_executor;
+    change_signal m_change;
 };
 
 } // namespace teaselcross
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -19,7 +19,8 @@
 /// Between two looks at the list once it has settled; the price of a stale read is a tenth of a call.
 constexpr auto list_interval = duration{std::chrono::seconds{4}};
 constexpr auto first_interval = duration{std::chrono::milliseconds{400}};
-constexpr auto first_looks = 4;
+/// With fewer instances listed, the fleet is likely to be starting.
+constexpr auto full_list = std::size_t{8};
 /// A relayed watch may wait as long as the one who asked.
 constexpr auto relay_timeout = duration{std::chrono::milliseconds{9500}};
 constexpr auto largest_relayed = std::size_t{16} * 1024 * 1024;
@@ -28,6 +29,7 @@
     return json{{"data_centre", options.data_centre.value()},
                 {"host", options.callers.host},
                 {"port", options.first_internal_port},
+                {"processor", options.processor},
                 {"birth", birth}}
         .dump();
 }
@@ -39,6 +41,7 @@
                                .data_centre = data_centre_id{document.at("data_centre").get<std::string>()},
                                .internal = {.host = document.at("host").get<std::string>(),
                                             .port = document.at("port").get<std::uint16_t>()},
+                               .processor = document.at("processor").get<double>(),
                                .birth = document.at("birth").get<std::uint64_t>()};
     } catch (const json::exception& fault) {
         log::warning("instance_unreadable", {{"object", object.key}, {"fault", fault.what()}});
@@ -94,13 +97,18 @@
 
 } // namespace
 
-auto keep_instances(const gateway_settings& options, knowledge& known, store_access& store, std::uint64_t birth)
+auto find_instances(const gateway_settings& options, knowledge& known, store_access& store, std::uint64_t birth)
     -> asio::awaitable<void> {
     co_await register_self(options, store, birth);
-    for (auto look = 0; look < first_looks; ++look) {
-        co_await list_instances(known, store, false);
+    co_await list_instances(known, store, false);
+    if (known.instances().size() < full_list) {
         co_await pause_for(first_interval);
+        co_await list_instances(known, store, false);
     }
+}
+
+auto keep_instances(knowledge& known, store_access& store) -> asio::awaitable<void> {
+    co_await pause_for(first_interval);
     while (true) {
         co_await list_instances(known, store, true);
         co_await pause_for(list_interval);
@@ -128,7 +136,13 @@
         co_return co_await relay(link, request);
     }
     auto response = http_response{http::status::ok, 11};
-    if (target == controller_paths::report && request.method() == http::verb::post) {
+    if (target == follow_path && request.method() == http::verb::post) {
+        const auto asked = json::parse(request.body(), nullptr, false);
+        const auto found = m_followers.find(asked.is_object() ? asked.value("kind", std::string{}) : std::string{});
+        if (found != m_followers.end()) {
+            response.body() = co_await found->second->answer_follower(std::move(request.body()));
+        }
+    } else if (target == controller_paths::report && request.method() == http::verb::post) {
         response.body() = m_control.on_report(request.body());
     } else if (target == controller_paths::resign && request.method() == http::verb::post) {
         response.body() = m_control.on_resign_request(request.body());
--- a/src/teaselcross/gateway/peers.h
+++ b/src/teaselcross/gateway/peers.h
@@ -4,7 +4,7 @@
 
 #include "gateway/controller.h"
 #include "gateway/request_router.h"
-#include "gateway/store_access.h"
+#include "gateway/store_follower.h"
 
 namespace teaselcross {
 
@@ -14,6 +14,9 @@
     peer_service(const gateway_settings& options, knowledge& known, store_access& store, controller& control,
                  metrics& measured);
 
+    /// Lets others follow what @a follower knows; it must outlive this.
+    auto add_follower(store_follower& follower) -> void { m_followers[follower.kind()] = &follower; }
+
     /// Handles one request on the internal port; for http_server.
     auto handle(server_connection& link, http_request request) -> boost::asio::awaitable<bool>;
 
@@ -25,10 +28,13 @@
     store_access& m_store;
     controller& m_control;
     metrics& m_measured;
+    std::map<std::string, store_follower*> m_followers; ///< By kind.
 };
 
-/// Registers this instance in the store and keeps the list of the others up to date.
-auto keep_instances(const gateway_settings& options, knowledge& known, store_access& store, std::uint64_t birth)
+/// Registers this instance in the store and lists the others; waits a moment for them when it is the first.
+auto find_instances(const gateway_settings& options, knowledge& known, store_access& store, std::uint64_t birth)
     -> boost::asio::awaitable<void>;
+/// Keeps the list of instances up to date for as long as the event loop runs.
+auto keep_instances(knowledge& known, store_access& store) -> boost::asio::awaitable<void>;
 
 } // namespace teaselcross
--- a/src/teaselcross/gateway/store_access.cpp
+++ b/src/teaselcross/gateway/store_access.cpp
@@ -1,6 +1,5 @@
 #include "gateway/store_access.h"
 
-#include "core/rendezvous.h"
 #include "logging/log.h"
 #include "runtime/clock.h"
 
@@ -15,10 +14,8 @@
 constexpr auto call_timeout = duration{std::chrono::milliseconds{700}}; // The store answers in some 4 ms.
 /// Between two direct tries while the store refuses this instance.
 constexpr auto direct_retry = duration{std::chrono::milliseconds{400}};
-/// Each wait costs a call. A connection that went silent is noticed sooner, by its keep-alive.
-constexpr auto watch_wait = duration{std::chrono::milliseconds{9000}};
 /// A watch that hangs tells nothing, so a cheap read asks now and then whether the store still answers.
-constexpr auto probe_interval = duration{std::chrono::milliseconds{500}};
+constexpr auto probe_interval = duration{std::chrono::milliseconds{600}};
 constexpr auto retry_pause = duration{std::chrono::milliseconds{120}};
 
 } // namespace
@@ -111,119 +108,6 @@
     }
 }
 
-namespace {
-
-auto digest_of(const std::string& key, std::uint64_t version) -> std::uint64_t {
-    return rendezvous_weight(version, key);
-}
-
-} // namespace
-
-store_follower::store_follower(store_access& store, std::string kind, follower_events events, duration pause)
-    : m_store{store}, m_kind{std::move(kind)}, m_events{std::move(events)}, m_pause{pause} {}
-
-/// Reads all pages. Nothing when the store could not be read.
-auto store_follower::list_all() -> boost::asio::awaitable<std::optional<store_reply>> {
-    auto whole = store_reply{};
-    auto after = std::string{};
-    while (true) {
-        auto call = store_call{.kind = store_call_kind::list, .key = m_kind, .after_key = after};
-        auto page = co_await m_store.read(std::move(call));
-        if (page.status != store_status::ok) {
-            co_return std::nullopt;
-        }
-        // The first page's revision: what changed while later pages were read is watched again.
-        whole.version = whole.objects.empty() ? page.version : whole.version;
-        const auto last = page.objects.empty() ? std::string{} : page.objects.back().key;
-        std::move(page.objects.begin(), page.objects.end(), std::back_inserter(whole.objects));
-        if (!page.more || last.empty()) {
-            break;
-        }
-        after = last;
-    }
-    std::erase_if(whole.objects, [](const auto& object) { return object.removed; });
-    whole.status = store_status::ok;
-    co_return whole;
-}
-
-auto store_follower::take_list(const store_reply& list) -> void {
-    if (list.version < m_at) {
-        return; // A relayed answer that is older than what is known.
-    }
-    m_at = list.version;
-    m_versions.clear();
-    m_digest = 0;
-    for (const auto& object : list.objects) {
-        m_versions[object.key] = object.version;
-        m_digest ^= digest_of(object.key, object.version);
-    }
-    m_events.listed(list.objects);
-}
-
-auto store_follower::take_event(const store_object& object) -> void {
-    const auto known = m_versions.find(object.key);
-    if (known != m_versions.end()) {
-        if (object.version < known->second) {
-            return; // A refresh was faster than the watch.
-        }
-        m_digest ^= digest_of(object.key, known->second);
-        m_versions.erase(known);
-    }
-    if (!object.removed) {
-        m_versions[object.key] = object.version;
-        m_digest ^= digest_of(object.key, object.version);
-    }
-    m_events.changed(object);
-}
-
-auto store_follower::refresh() -> boost::asio::awaitable<bool> {
-    if (m_refreshing) {
-        co_return false;
-    }
-    m_refreshing = true;
-    const auto list = co_await list_all();
-    m_refreshing = false;
-    if (list) {
-        take_list(*list);
-    }
-    co_return list.has_value();
-}
-
-/// Watches until the history is lost.
-auto store_follower::watch() -> boost::asio::awaitable<void> {
-    while (true) {
-        const auto from = m_at;
-        auto call = store_call{.kind = store_call_kind::watch, .key = m_kind, .after = from, .wait = watch_wait};
-        const auto reply = co_await m_store.read(std::move(call));
-        if (reply.status == store_status::history_lost) {
-            log::info("store_history_lost", {{"kind", m_kind}, {"after", from}});
-            co_return;
-        }
-        if (reply.status != store_status::ok) {
-            co_await pause_for(retry_pause);
-            continue;
-        }
-        for (const auto& object : reply.objects) {
-            take_event(object);
-        }
-        m_at = std::max(m_at, reply.version);
-        if (!reply.objects.empty()) {
-            co_await pause_for(m_pause);
-        }
-    }
-}
-
-auto store_follower::run() -> boost::asio::awaitable<void> {
-    while (true) {
-        const auto listed_now = co_await refresh();
-        if (!listed_now) {
-            co_await pause_for(retry_pause);
-            continue;
-        }
-        co_await watch();
-    }
-}
-
 auto probe_store(store_access& store, std::string key) -> boost::asio::awaitable<void> {
     while (true) {
         co_await pause_for(probe_interval);
--- a/src/teaselcross/gateway/store_access.h
+++ b/src/teaselcross/gateway/store_access.h
@@ -51,45 +51,6 @@
     bool m_healthy = false;
 };
 
-/// What the owner of a store_follower does with the objects.
-struct follower_events {
-    std::function<void(const std::vector<store_object>&)> listed; ///< The whole list.
-    std::function<void(const store_object&)> changed;             ///< One object changed or was removed.
-};
-
-/// Follows the objects of one kind: a list, then a watch. A watch tells nothing while the store withholds changes
-/// from it, so others may ask for a refresh() when their knowledge differs. Belongs to the event loop's thread.
-class store_follower {
-public:
-    /// Changes that come within @a pause are fetched together.
-    store_follower(store_access& store, std::string kind, follower_events events, duration pause);
-
-    /// Lists and watches for as long as the event loop runs.
-    auto run() -> boost::asio::awaitable<void>;
-    /// Lists anew, beside a watch that may hang. False when the store could not be read.
-    auto refresh() -> boost::asio::awaitable<bool>;
-
-    auto kind() const -> const std::string& { return m_kind; }
-    /// The same at two instances that know the same versions of the same objects.
-    auto digest() const -> std::uint64_t { return m_digest; }
-    auto listed() const -> bool { return m_at != 0; }
-
-private:
-    auto list_all() -> boost::asio::awaitable<std::optional<store_reply>>;
-    auto take_list(const store_reply& list) -> void;
-    auto take_event(const store_object& object) -> void;
-    auto watch() -> boost::asio::awaitable<void>;
-
-    store_access& m_store;
-    std::string m_kind;
-    follower_events m_events;
-    duration m_pause;
-    std::map<std::string, std::uint64_t> m_versions; ///< By key.
-    std::uint64_t m_digest = 0;
-    std::uint64_t m_at = 0;     ///< The store's revision up to which everything is known.
-    bool m_refreshing = false;
-};
-
 /// Reads @a key now and then, only to learn whether the store answers.
 auto probe_store(store_access& store, std::string key) -> boost::asio::awaitable<void>;
 
