--- a/src/libteaselcross/balance/range_balance.cpp
+++ b/src/libteaselcross/balance/range_balance.cpp
@@ -234,7 +234,8 @@
     }
     auto made = make_plan(state, rates);
     const auto most_ranges = options.ranges_per_holder * std::max<std::size_t>(state.holders.size(), 1);
-    while (moves.size() < options.moves_at_once && made.pieces.size() < most_ranges) {
+    const auto most_moves = options.moves_at_once + state.holders.size() / options.holders_per_move;
+    while (moves.size() < most_moves && made.pieces.size() < most_ranges) {
         auto* from = hottest(state, made);
         const auto* to = coolest(state, made);
         if (from == nullptr || to == nullptr || from->holder == to->life.id) {
--- a/src/libteaselcross/balance/range_balance.h
+++ b/src/libteaselcross/balance/range_balance.h
@@ -18,6 +18,7 @@
     double significance = 0;         ///< Standard deviations of a rate by which it must exceed the bound.
     double least_gain = 0.2;         ///< Difference of relative loads that is worth a move.
     std::size_t moves_at_once = 6;   ///< Each takes its keys out of service for a moment.
+    std::size_t holders_per_move = 8; ///< One more move at once for so many holders.
     std::size_t ranges_per_holder = 8; ///< Each range is renewed apart, so pieces must not multiply without bound.
 };
 
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -347,7 +347,8 @@
             const auto heard = !m_control.controls() && now - confirmed.at < confirmation_life;
             const auto agrees = found != confirmed.digests.end() && found->second == each->digest();
             // One that follows a relay relies on it, unless the controller knows otherwise.
-            if ((heard && agrees) || (!heard && !m_control.controls() && !each->is_direct())) {
+            const auto learning = now - each->last_change() < disagreement_patience;
+            if ((heard && (agrees || learning)) || (!heard && !m_control.controls() && !each->is_direct())) {
                 next_refresh[each->kind()] = now + disagreement_patience;
             }
             if (now >= next_refresh[each->kind()]) {
--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -66,6 +66,7 @@
 }
 
 auto store_follower::note(const store_object& object) -> void {
+    m_last_change = monotonic_now();
     m_changes.push_back({.number = ++m_number, .object = object});
     if (m_changes.size() > most_changes) {
         m_changes.pop_front();
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -43,6 +43,8 @@
     /// The same at two instances that know the same versions of the same objects.
     auto digest() const -> std::uint64_t { return m_digest; }
     auto listed() const -> bool { return m_listed; }
+    /// When something was last learnt.
+    auto last_change() const -> instant { return m_last_change; }
     /// Whether this instance follows the store itself.
     auto is_direct() const -> bool { return m_direct; }
 
@@ -73,6 +75,7 @@
     std::uint64_t m_epoch;                         ///< Distinguishes the numbers of different processes.
     std::uint64_t m_digest = 0;
     std::uint64_t m_at = 0; ///< The store's revision up to which everything is known.
+    instant m_last_change{};
     bool m_listed = false;
     bool m_refreshing = false;
     bool m_direct = false;
