--- /dev/null
+++ b/tests/admission/target_view_test.cpp
@@ -0,0 +1,94 @@
+// Where a request goes: load reports that age, failures, cold targets, distance.
+
+#include "admission/target_view.h"
+
+#include <gtest/gtest.h>
+
+namespace teaselcross::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto start = instant{std::chrono::seconds{10}};
+
+auto view(const std::string& name, const std::string& data_centre = "west") -> target_view {
+    return {.listed = {.id = target_id{name}, .data_centre = data_centre_id{data_centre}, .slots = 4},
+            .service_us = 100'000};
+}
+
+auto chosen(std::vector<target_view>& views, const choice_context& context, instant now) -> std::string {
+    auto pointers = std::vector<target_view*>{};
+    for (auto& each : views) {
+        pointers.push_back(&each);
+    }
+    auto* best = choose_view(pointers, context, 7, now);
+    return best == nullptr ? "" : best->listed.id.value();
+}
+
+} // namespace
+
+TEST(target_view, a_busy_report_sends_work_elsewhere_until_it_is_old) {
+    auto views = std::vector{view("a"), view("b")};
+    on_report(views[0], {.running = 4, .waiting = 8, .slots = 4}, start);
+    const auto context = choice_context{.own = data_centre_id{"west"}};
+    EXPECT_EQ(chosen(views, context, start), "b");
+    on_report(views[1], {.running = 4, .waiting = 2, .slots = 4}, start + std::chrono::seconds{3});
+    EXPECT_EQ(chosen(views, context, start + std::chrono::seconds{3}), "a");
+}
+
+TEST(target_view, own_requests_in_flight_count_although_no_report_shows_them) {
+    auto views = std::vector{view("a"), view("b")};
+    for (auto count = 0; count < 8; ++count) {
+        on_sent(views[0]);
+    }
+    EXPECT_EQ(chosen(views, {.own = data_centre_id{"west"}}, start), "b");
+}
+
+TEST(target_view, large_answers_stay_near_while_the_near_targets_bear_them) {
+    auto views = std::vector{view("near", "west"), view("far", "east")};
+    const auto context = choice_context{.own = data_centre_id{"west"}, .distance_cost = milliseconds{200}};
+    EXPECT_EQ(chosen(views, context, start), "near");
+    on_report(views[0], {.running = 4, .waiting = 12, .slots = 4}, start);
+    EXPECT_EQ(chosen(views, context, start), "far");
+}
+
+TEST(target_view, a_silent_target_is_avoided_for_longer_each_time) {
+    auto silent = view("a");
+    on_sent(silent);
+    on_ended(silent, send_result::silent, milliseconds{10}, {}, start);
+    const auto first = silent.avoid_until - start;
+    on_sent(silent);
+    on_ended(silent, send_result::silent, milliseconds{10}, {}, start);
+    EXPECT_GT(silent.avoid_until - start, first);
+    on_sent(silent);
+    on_ended(silent, send_result::answered, milliseconds{100}, {}, start);
+    EXPECT_EQ(silent.failures, 0U);
+}
+
+TEST(target_view, a_partly_failing_target_loses_work_although_it_answers_fast) {
+    auto views = std::vector{view("failing"), view("sound")};
+    for (auto count = 0; count < 10; ++count) {
+        on_sent(views[0]);
+        on_ended(views[0], send_result::failed, milliseconds{5}, {}, start);
+    }
+    EXPECT_EQ(chosen(views, {.own = data_centre_id{"west"}}, start), "sound");
+}
+
+TEST(target_view, a_cold_target_never_gets_more_than_its_share_in_any_second) {
+    auto cold = view("a");
+    mark_cold(cold, std::chrono::seconds{3}, start);
+    const auto share = cold_share{.rate = 2, .burst = 1};
+    auto taken = std::vector<instant>{};
+    for (auto now = start; now < start + std::chrono::seconds{3}; now += milliseconds{10}) {
+        if (take_cold_credit(cold, share, now)) {
+            taken.push_back(now);
+        }
+    }
+    for (std::size_t index = 3; index < taken.size(); ++index) {
+        EXPECT_GE(taken[index] - taken[index - 3], std::chrono::seconds{1});
+    }
+    EXPECT_GE(taken.size(), 5U);
+}
+
+} // namespace teaselcross::test
--- /dev/null
+++ b/tests/gateway/route_table_test.cpp
@@ -0,0 +1,45 @@
+// Splits by weight, and key maps through the store's form and back.
+
+#include "keyspace/key_map.h"
+#include "routing/route_table.h"
+
+#include <gtest/gtest.h>
+
+namespace teaselcross::test {
+
+TEST(route_table, a_split_gives_each_part_its_share_within_one_request) {
+    const auto rule = route_rule{
+        .name = "r",
+        .services = {{.service = service_id{"a"}, .weight = 90}, {.service = service_id{"b"}, .weight = 10}}};
+    auto splitter = route_splitter{};
+    auto to_b = 0;
+    for (auto count = 1; count <= 1000; ++count) {
+        to_b += next_service(splitter, rule) == service_id{"b"} ? 1 : 0;
+        EXPECT_NEAR(to_b, count * 0.1, 1.0);
+    }
+}
+
+TEST(key_map, survives_the_store_and_finds_owners) {
+    auto map = key_map{.fences_used = 9, .writer = "w"};
+    map.ranges.push_back({.first = 0, .last = 99, .fence = 3, .holder = {.id = target_id{"a"}, .birth = 1}});
+    map.ranges.push_back({.first = 100,
+                          .last = last_shard_key,
+                          .fence = 4,
+                          .holder = {.id = target_id{"b"}, .birth = 2},
+                          .next_fence = 9,
+                          .next = {.id = target_id{"a"}, .birth = 1}});
+    const auto read = key_map_from_json(nlohmann::json::parse(to_json(map).dump()), 5);
+    ASSERT_TRUE(read) << read.error();
+    EXPECT_EQ(read->ranges, map.ranges);
+    EXPECT_EQ(read->revision, 5U);
+    EXPECT_EQ(find_range(*read, 99)->holder.id, target_id{"a"});
+    EXPECT_TRUE(find_range(*read, 100)->moving());
+}
+
+TEST(key_map, with_a_gap_is_refused) {
+    auto map = key_map{.fences_used = 1};
+    map.ranges.push_back({.first = 1, .last = last_shard_key, .fence = 1, .holder = {.id = target_id{"a"}}});
+    EXPECT_FALSE(key_map_from_json(to_json(map), 1));
+}
+
+} // namespace teaselcross::test
--- /dev/null
+++ b/tests/platform/records_test.cpp
@@ -0,0 +1,216 @@
+// The platform's objects and messages, decoded: what is good, what is forged, what is missing.
+
+#include "platform/messages.h"
+#include "platform/records.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace teaselcross::test {
+
+namespace {
+
+namespace http = boost::beast::http;
+using json = nlohmann::json;
+
+auto target_entry() -> json {
+    return {{"service", "history"}, {"address", "10.0.0.9:8080"}, {"zone", "west"}, {"version", "v1"},
+            {"slots", 4},           {"state", "ready"},           {"sequence", 4},  {"cold-remaining-s", 1.5},
+            {"born", 1771872880832}};
+}
+
+auto config_entry() -> json {
+    return json::parse(R"({"version":7,"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,
+        "header-timeout-s":3,"idle-timeout-s":15},
+        "listeners":[{"host":"a.example","rules":[
+            {"name":"r1","kind":"safe","target-latency-s":0.3,"priority":2,"match":{"path-prefix":"/x/"},
+             "action":{"traffic-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+                       "timeout-s":0.8,"max-attempts":2}},
+            {"name":"r2","kind":"non_idempotent","match":{"path-prefix":"/x/y/"},
+             "action":{"service":"s2","timeout-s":1}}]}],
+        "clusters":[{"name":"s1","health-path":"/health","max-conns":130,"cold-start-s":3.0,"cold-per-s":13.0,
+                     "sharded":true},
+                    {"name":"s2"}]})");
+}
+
+auto settings_document() -> json {
+    return json::parse(R"({"node-name":"e1","zone":"west","internal-ports":[7540,7555],
+        "listen":{"front":"10.1.0.34:8548","ready":"10.1.0.34:8542"},
+        "limits":{"cpu-share":0.2,"cores":1},
+        "platform":{"address":"10.200.1.7:8541","writes-per-s":400},
+        "bounds":["grace-s=6","drain-s=2.5","budget-extra=192","closed=false"]})");
+}
+
+} // namespace
+
+TEST(platform_records, a_target_is_decoded) {
+    const auto target = platform::parse_target("i-1", target_entry().dump());
+    ASSERT_TRUE(target) << target.error();
+    EXPECT_EQ(target->service, service_id{"history"});
+    EXPECT_EQ(target->host, "10.0.0.9");
+    EXPECT_EQ(target->port, 8080);
+    EXPECT_EQ(target->slots, 4U);
+    EXPECT_FALSE(target->leaving);
+    EXPECT_EQ(target->cold_for, std::chrono::milliseconds{1500});
+    EXPECT_EQ(target->birth, 1771872880832U);
+}
+
+TEST(platform_records, forged_targets_name_none) {
+    for (const auto* field : {"service", "address", "zone", "slots", "state", "sequence"}) {
+        auto missing = target_entry();
+        missing.erase(field);
+        EXPECT_FALSE(platform::parse_target("i-1", missing.dump())) << field << " is missing";
+        auto mistyped = target_entry();
+        mistyped[field] = json::array();
+        EXPECT_FALSE(platform::parse_target("i-1", mistyped.dump())) << field << " is a list";
+    }
+    auto odd = target_entry();
+    odd["state"] = "sleeping";
+    EXPECT_FALSE(platform::parse_target("i-1", odd.dump()));
+    odd = target_entry();
+    odd["born"] = 1.5;
+    EXPECT_FALSE(platform::parse_target("i-1", odd.dump()));
+    odd = target_entry();
+    odd["address"] = "nowhere";
+    EXPECT_FALSE(platform::parse_target("i-1", odd.dump()));
+    EXPECT_FALSE(platform::parse_target("i-1", "\x01\x02{"));
+}
+
+TEST(platform_records, a_configuration_is_decoded) {
+    const auto table = platform::parse_routes(config_entry().dump());
+    ASSERT_TRUE(table) << table.error();
+    EXPECT_EQ(table->version, 7U);
+    const auto* rule = find_route(*table, "a.example", "/x/y/z");
+    ASSERT_NE(rule, nullptr);
+    EXPECT_EQ(rule->name, "r2") << "the longest prefix wins";
+    EXPECT_EQ(rule->kind, request_kind::at_most_once);
+    EXPECT_EQ(rule->objective, rule->timeout) << "without an objective the timeout is all that is known";
+    EXPECT_TRUE(table->services.at(service_id{"s1"}).keyed);
+}
+
+TEST(platform_records, a_faulty_configuration_is_refused_whole) {
+    const auto refused = [](const std::string& pointer, const json& value) {
+        auto document = config_entry();
+        document[json::json_pointer{pointer}] = value;
+        return !platform::parse_routes(document.dump()).has_value();
+    };
+    EXPECT_TRUE(refused("/listeners/0/rules/0/kind", "odd"));
+    EXPECT_TRUE(refused("/listeners/0/rules/0/action/timeout-s", -1));
+    EXPECT_TRUE(refused("/listeners/0/rules/1/action/service", "unknown"));
+    EXPECT_TRUE(refused("/version", "seven"));
+    auto without_timeout = config_entry();
+    without_timeout["listeners"][0]["rules"][0]["action"].erase("timeout-s");
+    EXPECT_FALSE(platform::parse_routes(without_timeout.dump()));
+    EXPECT_FALSE(platform::parse_routes(config_entry().dump().substr(0, 200)));
+}
+
+TEST(platform_settings, are_read_with_their_bounds) {
+    const auto settings = platform::parse_settings(settings_document().dump());
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->instance, "e1");
+    EXPECT_EQ(settings->callers.port, 8548);
+    EXPECT_EQ(settings->drain, std::chrono::milliseconds{2500});
+    EXPECT_DOUBLE_EQ(settings->retry_extra, 192);
+    EXPECT_DOUBLE_EQ(settings->processor, 0.2);
+}
+
+TEST(platform_settings, all_faults_are_named_at_once) {
+    auto document = settings_document();
+    document.erase("node-name");
+    document["listen"]["front"] = "nowhere";
+    document["internal-ports"] = {0, 7555};
+    document["bounds"].push_back("grace-s=soon");
+    const auto settings = platform::parse_settings(document.dump());
+    ASSERT_FALSE(settings);
+    auto places = std::vector<std::string>{};
+    for (const auto& fault : settings.error()) {
+        places.push_back(fault.place);
+    }
+    EXPECT_EQ(places,
+              (std::vector<std::string>{"/node-name", "/listen/front", "/internal-ports/0", "/bounds/4"}));
+}
+
+TEST(platform_messages, a_request_loses_only_what_concerns_the_callers_connection) {
+    auto request = http_request{http::verb::post, "/x/1?q=2", 11};
+    request.set(http::field::host, "a.example:80");
+    request.set(http::field::connection, "keep-alive, X-Hop");
+    request.set("X-Hop", "1");
+    request.set("X-Own", "2");
+    request.set("Teaselcross-Request-Attempt-Id", "id1");
+    request.set("Teaselcross-Deadline-Remaining-Ms", "800");
+    request.set("Teaselcross-Shard-Key", "65536");
+    request.set("Teaselcross-Expect-Instance", "forged");
+    const auto said = platform::read_caller_request(request);
+    EXPECT_EQ(said.id, "id1");
+    EXPECT_EQ(said.host, "a.example");
+    EXPECT_EQ(said.patience, std::chrono::milliseconds{800});
+    EXPECT_FALSE(said.key) << "out of range";
+    platform::make_target_request(request);
+    platform::address_target_request(request, target_id{"i-1"}, std::chrono::milliseconds{500});
+    EXPECT_EQ(request.count("X-Hop"), 0U);
+    EXPECT_EQ(request["X-Own"], "2");
+    EXPECT_EQ(request["Teaselcross-Request-Attempt-Id"], "id1");
+    EXPECT_EQ(request["Teaselcross-Deadline-Remaining-Ms"], "500");
+    EXPECT_EQ(request["Teaselcross-Expect-Instance"], "i-1");
+    EXPECT_EQ(request.target(), "/x/1?q=2");
+}
+
+TEST(platform_messages, a_refusal_names_when_to_come_back) {
+    const auto answer =
+        platform::make_refusal(http::status::service_unavailable, "id1", std::chrono::milliseconds{125});
+    EXPECT_EQ(answer[http::field::retry_after], "0.125");
+    EXPECT_EQ(answer["Teaselcross-Request-Attempt-Id"], "id1");
+    EXPECT_EQ(answer[http::field::content_length], "0");
+}
+
+TEST(platform_messages, orders_are_encoded_and_their_answers_read) {
+    const auto order = key_order{.kind = order_kind::grant,
+                                 .to = {.id = target_id{"i-1"}, .birth = 1},
+                                 .first = 4096,
+                                 .last = 8191,
+                                 .fence = 12,
+                                 .hold = std::chrono::milliseconds{3400},
+                                 .handover = "token"};
+    const auto request = platform::make_order(order, "10.0.0.9");
+    const auto body = json::parse(request.body());
+    EXPECT_EQ(body, json::parse(R"({"from":4096,"to":8191,"fence":12,"hold-s":3.4,"handover":"token"})"));
+    auto handover = std::string{};
+    const auto result = [&](http::status status) {
+        return platform::read_order_answer(order, http_response{status, 11}, handover);
+    };
+    EXPECT_EQ(result(http::status::ok), order_result::done);
+    EXPECT_EQ(result(http::status::conflict), order_result::refused);
+    EXPECT_EQ(result(http::status::service_unavailable), order_result::unanswered);
+}
+
+TEST(platform_store, replies_are_decoded_and_unreadable_objects_kept_for_their_reader) {
+    const auto& dialect = platform::platform_dialect;
+    const auto call = store_call{.kind = store_call_kind::watch, .key = "servers", .after = 530};
+    EXPECT_EQ(dialect.request_of(call, "store").target(), "/-/objects/servers?watch=530&wait-ms=0");
+    auto answer = http_response{http::status::ok, 11};
+    answer.body() = R"({"at":533,"events":[
+        {"deleted":true,"object":{"metadata":{"name":"i-1","revision":531}}},
+        {"deleted":false,"object":{"metadata":{"name":"i-2","revision":532},"spec":"?"}},
+        {"deleted":false,"object":7}]})";
+    auto reply = store_reply{};
+    dialect.read_reply(call, answer, reply);
+    ASSERT_EQ(reply.status, store_status::ok);
+    ASSERT_EQ(reply.objects.size(), 2U);
+    EXPECT_TRUE(reply.objects[0].removed);
+    EXPECT_EQ(reply.objects[1].key, "servers/i-2");
+    EXPECT_EQ(reply.version, 533U);
+    dialect.read_reply(call, http_response{http::status::gone, 11}, reply);
+    EXPECT_EQ(reply.status, store_status::history_lost);
+    const auto write =
+        store_call{.kind = store_call_kind::update, .key = "k/n", .value = "{}", .expected_version = 4};
+    EXPECT_EQ(json::parse(dialect.request_of(write, "store").body())["metadata"]["revision"], 4);
+    dialect.read_reply(write, http_response{http::status::service_unavailable, 11}, reply);
+    EXPECT_EQ(reply.status, store_status::unavailable) << "nothing was done";
+    dialect.read_reply(write, http_response{http::status::internal_server_error, 11}, reply);
+    EXPECT_EQ(reply.status, store_status::unknown);
+}
+
+} // namespace teaselcross::test
