--- a/src/libteaselcross/routing/route_table.h
+++ b/src/libteaselcross/routing/route_table.h
@@ -49,7 +49,7 @@
 /// What callers may send and how long they may take.
 struct caller_limits {
     std::uint32_t header_bytes = 16 * 1024;
-    std::uint64_t body_bytes = 1024 * 1024;
+    std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
     duration header_timeout = std::chrono::seconds{3};
     duration idle_timeout = std::chrono::seconds{15};
 };
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -22,7 +22,6 @@
 
 constexpr auto peer_timeout = duration{std::chrono::milliseconds{400}};
 constexpr auto write_patience = duration{std::chrono::seconds{2}};
-constexpr auto holders_interval = duration{std::chrono::milliseconds{120}};
 /// At the very first start the list of targets fills over some heartbeats: keys are given out once it has
 /// been quiet for so long,
 constexpr auto first_assignment_quiet = duration{std::chrono::milliseconds{1500}};
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -127,8 +127,7 @@
       m_router{m_options, m_known, m_measured, executor()}, m_control{m_options, m_known,    m_store,
                                                                       m_router,  m_measured, executor(),
                                                                       m_birth},
-      m_peers{m_options, m_known, m_store, m_control, m_measured}, m_signals{m_context, SIGTERM, SIGINT,
-                                                                             SIGHUP} {
+      m_peers{m_options, m_store, m_control, m_measured}, m_signals{m_context, SIGTERM, SIGINT, SIGHUP} {
     m_settings_text = read_file(m_settings_file).value_or(std::string{});
 }
 
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -117,9 +117,9 @@
     }
 }
 
-peer_service::peer_service(const gateway_settings& options, knowledge& known, store_access& store,
-                           controller& control, metrics& measured)
-    : m_options{options}, m_known{known}, m_store{store}, m_control{control}, m_measured{measured} {}
+peer_service::peer_service(const gateway_settings& options, store_access& store, controller& control,
+                           metrics& measured)
+    : m_options{options}, m_store{store}, m_control{control}, m_measured{measured} {}
 
 auto peer_service::relay(server_connection& link, const http_request& request) -> asio::awaitable<bool> {
     auto passed_on = http_request{http::verb::get, request.target(), 11};
--- a/src/teaselcross/gateway/peers.h
+++ b/src/teaselcross/gateway/peers.h
@@ -11,7 +11,7 @@
 /// What a peer asks this instance for, by path.
 class peer_service {
 public:
-    peer_service(const gateway_settings& options, knowledge& known, store_access& store, controller& control,
+    peer_service(const gateway_settings& options, store_access& store, controller& control,
                  metrics& measured);
 
     /// Lets others follow what @a follower knows; it must outlive this.
@@ -24,7 +24,6 @@
     auto relay(server_connection& link, const http_request& request) -> boost::asio::awaitable<bool>;
 
     const gateway_settings& m_options;
-    knowledge& m_known;
     store_access& m_store;
     controller& m_control;
     metrics& m_measured;
--- a/src/teaselcross/logging/direct_log.cpp
+++ b/src/teaselcross/logging/direct_log.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <climits>
+#include <utility>
 
 namespace teaselcross::log {
 
