--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -426,11 +426,6 @@
     auto next_sample = m_began;
     while (m_controls && !m_stopping) {
         const auto now = monotonic_now();
-        // Reports come a moment after a term has begun.
-        if (!may_order(now) && now - m_last_renewal > m_limits.lease.term) {
-            end("the lease ran out");
-            break;
-        }
         if (now >= m_next_renewal && !m_renewing) {
             m_next_renewal = now + m_limits.lease.renewal;
             asio::co_spawn(m_executor, renew(), asio::detached);
@@ -439,7 +434,20 @@
             next_sample = now + m_limits.report_interval;
             take_report(own_report(), now);
         }
-        if (co_await load_maps()) {
+        // Reports come a moment after a term has begun.
+        const auto ordering = may_order(now) || now - m_last_renewal <= m_limits.lease.term;
+        if (ordering != m_ordering) {
+            m_ordering = ordering;
+            log::info(ordering ? "orders_resumed" : "orders_suspended",
+                      {{"term", m_term}, {"last_renewal_ms", (now - m_last_renewal).count() / 1000}});
+        }
+        // While the store is away the lease may still be free to renew afterwards: then this process knows best
+        // what it has granted, and goes on without waiting for anything.
+        auto loaded = false;
+        if (ordering) {
+            loaded = co_await load_maps();
+        }
+        if (loaded) {
             tick(monotonic_now());
         }
         co_await pause_for(m_limits.tick);
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -133,6 +133,7 @@
     connection_pool m_peer_pool;
     lease_candidate m_lease;
     bool m_controls = false;
+    bool m_ordering = true; ///< Whether orders may be given now; false while the lease cannot be renewed.
     bool m_stopping = false;
     std::uint64_t m_term = 0; ///< Counts the times that this process took control.
     std::uint32_t m_orders_in_flight = 0;
