--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,5 +6,6 @@
 scripts/install.sh --checks
 scripts/build.sh release
 scripts/check_format.sh
+scripts/check_words.sh
 scripts/lint.sh
 scripts/run_tests.sh
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -441,8 +441,8 @@
             log::info(ordering ? "orders_resumed" : "orders_suspended",
                       {{"term", m_term}, {"last_renewal_ms", (now - m_last_renewal).count() / 1000}});
         }
-        // While the store is away the lease may still be free to renew afterwards: then this process knows best
-        // what it has granted, and goes on without waiting for anything.
+        // While the store is away the lease may still be free to renew afterwards: then this process knows
+        // best what it has granted, and goes on without waiting for anything.
         auto loaded = false;
         if (ordering) {
             loaded = co_await load_maps();
