--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -73,6 +73,13 @@
     m_lease.options = m_limits.lease;
 }
 
+auto controller::grant_options() const -> grantor_options {
+    auto options = grantor_options{};
+    options.hold = std::min(options.hold, m_options.longest_hold);
+    options.renewal = std::min(options.renewal, options.hold / 4); // So that three renewals may fail.
+    return options;
+}
+
 auto controller::self() const -> instance_id {
     return instance_id{m_options.instance + "#" + std::to_string(m_birth)};
 }
@@ -210,7 +217,7 @@
         resigned = earlier_self ? resignation::uncertain : co_await ask_to_resign(before->holder);
     }
     const auto now = monotonic_now();
-    const auto bound = hold_bound({});
+    const auto bound = hold_bound(grant_options());
     if (resigned == resignation::clean) {
         set_moves_from(now);
     } else if (resigned == resignation::uncertain) {
@@ -238,12 +245,12 @@
     while (m_controls || m_term == term) {
         co_await pause_for(m_limits.report_interval);
         const auto now = monotonic_now();
-        if (m_term != term || !m_controls || now + hold_bound({}) >= m_moves_from) {
+        if (m_term != term || !m_controls || now + hold_bound(grant_options()) >= m_moves_from) {
             co_return;
         }
         const auto resigned = co_await ask_to_resign(holder);
         if (m_term == term && resigned != resignation::unknown) {
-            set_moves_from(std::min(m_moves_from, monotonic_now() + hold_bound({})));
+            set_moves_from(std::min(m_moves_from, monotonic_now() + hold_bound(grant_options())));
             co_return;
         }
     }
@@ -276,7 +283,7 @@
             m_won_over.insert(peer.name);
             if (is_majority(m_won_over.size() + 1)) {
                 const auto last_report = monotonic_now() + peer_timeout + m_limits.recognition;
-                set_moves_from(std::min(m_moves_from, last_report + hold_bound({})));
+                set_moves_from(std::min(m_moves_from, last_report + hold_bound(grant_options())));
             }
             co_return;
         }
@@ -415,6 +422,7 @@
             map = std::move(*parsed);
         }
         auto& state = m_services[service];
+        state.grantor.options = grant_options();
         take_over(state.grantor, std::move(map), m_moves_from, monotonic_now());
         state.loaded = true;
     }
@@ -542,7 +550,7 @@
     auto result = order_result::not_sent;
     auto handover = std::string{};
     auto sent = monotonic_now();
-    const auto limits = grantor_options{};
+    const auto limits = grant_options();
     const auto timeout = order.kind == order_kind::grant ? limits.call_timeout : limits.release_timeout;
     if (target != nullptr) {
         auto peer = endpoint{.host = target->view.listed.host, .port = target->view.listed.port};
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -90,10 +90,10 @@
     };
     struct target_speed {
         double service_us = 0;
-        std::uint32_t slots = 1;
     };
 
     auto self() const -> instance_id;
+    auto grant_options() const -> grantor_options;
     auto seek() -> boost::asio::awaitable<void>;
     auto read_lease() -> boost::asio::awaitable<bool>;
     auto write_lease(lease_write write) -> boost::asio::awaitable<bool>;
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -28,10 +28,9 @@
 /// A kept connection that was idle for longer may have been closed by the target at this moment, and a
 /// request that must not be repeated is lost with it.
 constexpr auto fresh_for_at_most_once = duration{std::chrono::milliseconds{1500}};
-/// Requests to a key's owner go on that long after it is known to leave, while its keys are moved.
-constexpr auto leaving_owner_serves = duration{std::chrono::milliseconds{1200}};
-/// The same for owners in a data centre that was taken out.
-constexpr auto taken_out_owner_serves = duration{std::chrono::milliseconds{3000}};
+/// Requests to a key's owner go on, while its keys are moved, for this part of the time in which a leaving
+/// target or one in a data centre that was taken out may still get some; the rest is for news that come late.
+constexpr auto owner_serves_on = 0.6;
 /// Failures in a row after which the owner of a key is taken to be unreachable for a moment.
 constexpr auto owner_failures = 2U;
 /// Cost of a kilobyte from another data centre, as waiting time: bytes between data centres are dear.
@@ -224,8 +223,11 @@
     }
     auto& view = owner->view;
     const auto out_since = m_known.taken_out_since(view.listed.data_centre);
-    const auto left = owner->leaving_since && now > *owner->leaving_since + leaving_owner_serves;
-    if (left || (out_since && now > *out_since + taken_out_owner_serves)) {
+    const auto part_of = [](duration limit) {
+        return std::chrono::duration_cast<duration>(limit * owner_serves_on);
+    };
+    const auto left = owner->leaving_since && now > *owner->leaving_since + part_of(m_options.drain);
+    if (left || (out_since && now > *out_since + part_of(m_options.evacuation))) {
         return {.reason = refusal::no_owner, .worth_waiting = true, .retry_after = owner_wait};
     }
     if (const auto reason = gate(current, view, now)) {
