--- a/scripts/check_words.sh
+++ b/scripts/check_words.sh
@@ -12,5 +12,4 @@
     grep -qw "$event" docs/OPERATIONS.md || { echo "docs/OPERATIONS.md does not explain the event $event" >&2; missing=1; }
 done < <(grep -rhoE 'log::(info|warning|error)\(([a-z]+ \? )?"[a-z_]+"( : "[a-z_]+")?' src/teaselcross/gateway src/teaselcross/http \
     src/teaselcross/logging/direct_log.cpp | grep -oE '"[a-z_]+"' | tr -d '"' | sort -u)
-grep -hoE 'warning\("[a-z_]+"' src/teaselcross/logging/direct_log.cpp >/dev/null
 [[ $missing == 0 ]] && echo "words: the platform's names and the log's events are where they belong"
