--- a/src/teaselcross/main.cpp
+++ b/src/teaselcross/main.cpp
@@ -1,5 +1,6 @@
 // The command line of teaselcross.
 
+#include "commands/explain_request.h"
 #include "commands/gateway_command.h"
 #include "commands/operator_commands.h"
 #include "commands/serve.h"
@@ -35,6 +36,7 @@
   teaselcross data-centre in NAME         take it back
   teaselcross status [--json]             where the system stands, and whether you need to act
   teaselcross explain SERVICE KEY         who owns a key, and why
+  teaselcross explain --request ID LOG... what became of a request, from the logs of any number of instances
   teaselcross version
 
 Operators' commands talk to any instance: --instance IP:PORT (its operators' port).
@@ -95,6 +97,9 @@
     if (command == "status") {
         return teaselcross::status_command(options);
     }
+    if (command == "explain" && given.count("request") > 0) {
+        return teaselcross::explain_request(given["request"].as<std::string>(), options.arguments);
+    }
     if (command == "explain") {
         return teaselcross::explain_command(options);
     }
@@ -114,6 +119,7 @@
     auto visible = po::options_description{"Options"};
     visible.add_options()("help", "show this text")("settings", po::value<std::string>(),
                                                     "the settings file")(
+        "request", po::value<std::string>(), "the ID of the request to explain from logs")(
         "instance", po::value(&options.instance), "operators' address of any instance, IP:PORT")(
         "base", po::value(&options.base), "the version that a patch is for")(
         "id", po::value(&options.id), "the patch's ID; a repeat under the same ID never applies twice")(
--- /dev/null
+++ b/tests/explain/request_story_test.cpp
@@ -0,0 +1,89 @@
+// What the logs of several instances say of one request, on lines as instances write them.
+
+#include "explain/request_story.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace teaselcross {
+namespace {
+
+constexpr auto taker = R"(
+ms=900000 up_us=1000000 level=INFO instance=edge-a-1 event=started data_centre=a host=10.1.0.1
+ms=901000 up_us=2000000 level=INFO instance=edge-a-1 event=config_in_force version=4 before=3
+ms=904000 up_us=5000000 level=WARN instance=edge-a-1 event=store_lost call=watch status=unavailable last_answer_ms=310
+ms=905000 up_us=6000000 level=WARN instance=edge-a-1 event=refused id=aa11 reason=no_owner status=503 service=s1 target=i-7 ms=150
+ms=906000 up_us=7000000 level=INFO instance=edge-a-1 event=config_in_force version=9 before=4
+)";
+constexpr auto controller = R"(
+ms=880000 up_us=100000 level=INFO instance=edge-b-1 event=range_moves service=s1 first=0 last=9 to=i-8
+ms=903900 up_us=4900000 level=INFO instance=edge-b-1 event=key_order kind=release service=s1 target=i-7 first=0 last=9 fence=3 result=unanswered ms=2000
+ms=904100 up_us=5100000 level=INFO instance=edge-b-1 event=key_order kind=grant service=s1 target=i-9 first=10 last=19 fence=4 result=unanswered ms=500
+ms=904200 up_us=5200000 level=INFO instance=edge-b-1 event=orders_suspended term=1 last_renewal_ms=1700
+ms=904300 up_us=5300000 level=WARN instance=edge-b-1 event=refused id=bb22 reason=overload status=503 service=s2 target=i-5 ms=1
+)";
+
+auto lines_of(const std::string& text) -> std::vector<log_line> {
+    auto from = std::istringstream{text};
+    return read_log(from);
+}
+
+auto events_of(const std::vector<story_line>& story) -> std::vector<std::string> {
+    auto events = std::vector<std::string>{};
+    for (const auto& each : story) {
+        events.push_back(each.line.event);
+    }
+    return events;
+}
+
+TEST(request_story, tells_what_the_instance_believed_and_what_the_controller_did) {
+    const auto story = tell_story(lines_of(std::string{taker} + controller), "aa11");
+    EXPECT_EQ(events_of(story), (std::vector<std::string>{"started", "config_in_force", "key_order",
+                                                          "store_lost", "orders_suspended", "refused"}));
+    EXPECT_EQ(story.back().part, story_part::request);
+    EXPECT_EQ(story[1].line.fields.at("version"), "4") << "what came after the request's end is left out";
+    EXPECT_EQ(story[2].line.fields.at("target"), "i-7") << "other targets are left out";
+}
+
+TEST(request_story, does_not_depend_on_the_order_of_the_files) {
+    const auto one = tell_story(lines_of(std::string{taker} + controller), "aa11");
+    const auto other = tell_story(lines_of(std::string{controller} + taker), "aa11");
+    EXPECT_EQ(to_text(one), to_text(other));
+}
+
+TEST(request_story, is_empty_for_a_request_that_no_line_names) {
+    EXPECT_TRUE(tell_story(lines_of(taker), "aa1").empty());
+}
+
+TEST(request_story, keeps_the_latest_causes_when_there_are_many) {
+    const auto story =
+        tell_story(lines_of(std::string{taker} + controller), "aa11", {.reach_ms = 30000, .most_causes = 1});
+    EXPECT_EQ(events_of(story), (std::vector<std::string>{"started", "config_in_force", "store_lost",
+                                                          "orders_suspended", "refused"}));
+}
+
+TEST(request_story, says_times_relative_to_the_request_s_end) {
+    const auto text = to_text(tell_story(lines_of(std::string{taker} + controller), "aa11"));
+    EXPECT_NE(text.find("-1000 ms  belief  edge-a-1  event=store_lost"), std::string::npos) << text;
+    EXPECT_NE(text.find("0 ms  request  edge-a-1  event=refused id=aa11"), std::string::npos) << text;
+}
+
+TEST(log_lines, are_read_with_quoted_values_and_with_a_collector_s_words_before_them) {
+    const auto line = parse_log_line(
+        R"(12.5 edge-a-1 | ms=7 up_us=8 level=WARN instance=edge-a-1 event=settings_refused faults="a \"b\" = c" ms=3)");
+    ASSERT_TRUE(line);
+    EXPECT_EQ(line->wall_ms, 7);
+    EXPECT_EQ(line->steady_us, 8);
+    EXPECT_EQ(line->fields.at("faults"), "a \"b\" = c");
+    EXPECT_EQ(line->fields.at("ms"), "3") << "the event's own field, not the time of day";
+}
+
+TEST(log_lines, that_a_kill_cut_are_passed_over) {
+    EXPECT_FALSE(parse_log_line("ms=7 up_us=8 level=WARN inst"));
+    EXPECT_FALSE(parse_log_line(""));
+    EXPECT_EQ(lines_of("ms=7 up_us=8 level=INFO instance=a event=started\nms=9 up_us=").size(), 1U);
+}
+
+} // namespace
+} // namespace teaselcross
