--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -104,7 +104,8 @@
         progress.given_up = true;
         return order_for(state, range, order_kind::release, progress);
     }
-    // Whatever becomes of this call, the holder may hold the keys as long as if it arrived last.
+    // Once it is sent, the holder may hold the keys as long as if it arrived last.
+    progress.held_before_call = progress.may_hold_until;
     progress.may_hold_until =
         std::max(progress.may_hold_until, now + state.options.call_timeout + longest_hold(state.options));
     return order_for(state, range, order_kind::grant, progress);
@@ -339,6 +340,9 @@
             progress.next_call = now + options.retry;
             continue;
         }
+        if (result == order_result::not_sent) {
+            progress.may_hold_until = progress.held_before_call;
+        }
         if (result == order_result::done) {
             progress.may_hold_until =
                 std::max(progress.may_hold_until - options.call_timeout, now + longest_hold(options));
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -23,8 +23,10 @@
 namespace teaselcross {
 
 struct grantor_options {
-    duration hold = std::chrono::milliseconds{3400}; ///< Of one grant; outlives a change of the controller.
-    duration renewal = std::chrono::milliseconds{800};
+    /// Of one grant. A lost holder's keys wait for it to run out; it outlives a change of the controller,
+    /// which takes the lease's term and one renewal.
+    duration hold = std::chrono::milliseconds{2600};
+    duration renewal = std::chrono::milliseconds{600};
     duration retry = std::chrono::milliseconds{120}; ///< After a grant without an answer.
     duration call_timeout =
         std::chrono::milliseconds{500}; ///< A call is cut off then, so it cannot arrive later.
@@ -44,7 +46,8 @@
 
 /// What the controller knows of one range beside the record.
 struct range_progress {
-    instant may_hold_until{}; ///< Every grant that was sent has run out by then.
+    instant may_hold_until{};   ///< Every grant that was sent has run out by then.
+    instant held_before_call{}; ///< The same without the pending call, in case it is never sent.
     instant next_call{};
     bool call_pending = false;
     bool released = false;  ///< The holder has answered the release.
--- a/tests/ownership/range_grantor_test.cpp
+++ b/tests/ownership/range_grantor_test.cpp
@@ -110,6 +110,27 @@
     }
 }
 
+// Keys of a crashed holder: each renewal that finds nobody there must not put off the end of its last grant.
+TEST(range_grantor, a_grant_that_is_never_sent_does_not_lengthen_the_wait_for_a_lost_holder) {
+    auto state = settled(start);
+    const auto free_at = start + state.options.hold * 102 / 100 + state.options.margin;
+    auto granted = instant{};
+    for (auto now = start; now < free_at + std::chrono::seconds{5} && granted == instant{};
+         now += milliseconds{20}) {
+        evict_holders(state, {}, now);
+        write_now(state);
+        for (const auto& order : due_orders(state, now)) {
+            const auto lost = order.to.id == target_id{"a"};
+            if (!lost && order.first == 0) {
+                granted = now;
+            }
+            on_order_ended(state, order, lost ? order_result::not_sent : order_result::done, {}, now, now);
+        }
+    }
+    EXPECT_GE(granted, free_at) << "the lost holder may still believe in its grant";
+    EXPECT_LE(granted, free_at + milliseconds{100});
+}
+
 // Found by a hunt: the store refused the controller, so a range had been handed on while the record still
 // named both sides; the next term gave the move another end and meanwhile renewed the old holder's grant.
 TEST(range_grantor, an_inherited_move_is_never_undone_by_a_renewal) {
