--- a/src/libteaselcross/admission/target_view.cpp
+++ b/src/libteaselcross/admission/target_view.cpp
@@ -30,9 +30,10 @@
 
 auto cost(const target_view& view, const choice_context& context, instant now) -> double {
     constexpr auto error_penalty = 4.0; // A failed answer costs the caller a second try and most of its time.
-    auto finish = static_cast<double>(expected_finish(view, context.view, now).count());
+    const auto expected = expected_finish(view, context.view, now);
+    auto finish = static_cast<double>(expected.count());
     finish *= 1.0 + error_penalty * view.error_rate;
-    if (view.listed.data_centre != context.own) {
+    if (view.listed.data_centre != context.own || expected > context.near_enough) {
         finish += static_cast<double>(context.distance_cost.count());
     }
     return finish;
@@ -40,11 +41,16 @@
 
 } // namespace
 
+auto expected_others(const target_view& view, const view_options& options, instant now) -> double {
+    const auto fresh = freshness(view, options, now);
+    return view.usual_others + (view.others - view.usual_others) * fresh;
+}
+
 auto expected_finish(const target_view& view, const view_options& options, instant now) -> duration {
     const auto fresh = freshness(view, options, now);
     const auto service = service_time(view, options, fresh);
     const auto slots = std::max(1U, view.listed.slots);
-    const auto ahead = view.in_flight + view.others * fresh;
+    const auto ahead = view.in_flight + expected_others(view, options, now);
     // Slots that are partly taken already make the next request slower on average, before any queue forms.
     const auto load = ahead / slots;
     const auto queued = std::max(0.0, ahead + 1.0 - slots) / slots;
@@ -113,6 +119,7 @@
 auto on_report(target_view& view, const load_report& report, instant now) -> void {
     const auto all = report.running + report.waiting;
     view.others = all > view.in_flight ? all - view.in_flight : 0;
+    view.usual_others += (view.others - view.usual_others) * view_options{}.report_smoothing;
     view.slowness = std::max(report.slowness, 0.1);
     view.reported = now;
 }
--- a/src/libteaselcross/admission/target_view.h
+++ b/src/libteaselcross/admission/target_view.h
@@ -42,7 +42,8 @@
     std::uint32_t in_flight = 0; ///< Sent by this instance and not answered.
     double service_us = 0;       ///< Time of one request in a slot, smoothed; 0 before the first answer.
     std::uint32_t others = 0;    ///< Requests of other instances there at the last report.
-    double slowness = 1;         ///< As last reported.
+    double usual_others = 0; ///< The same, smoothed over reports: what an old report is taken to have become.
+    double slowness = 1;     ///< As last reported.
     instant reported{};
     std::uint32_t failures = 0; ///< Sends in a row without any answer.
     instant avoid_until{};      ///< Nothing is sent before, unless there is no other choice.
@@ -64,9 +65,14 @@
     duration first_pause = std::chrono::milliseconds{250}; ///< After a send without any answer.
     duration longest_pause = std::chrono::milliseconds{2000};
     double smoothing = 0.15;                                 ///< Weight of the newest completion.
+    double report_smoothing = 0.2;                           ///< Weight of the newest report.
     duration usual_service = std::chrono::milliseconds{100}; ///< Assumed before the first answer.
 };
 
+/// Requests of other instances that are at the target at @a now, as far as is known: the last report, which
+/// fades into what reports usually say.
+auto expected_others(const target_view& view, const view_options& options, instant now) -> double;
+
 /// When a request sent at @a now would be answered, as far as is known.
 auto expected_finish(const target_view& view, const view_options& options, instant now) -> duration;
 
@@ -100,7 +106,9 @@
 /// What a choice among the targets of a service weighs beside their load.
 struct choice_context {
     data_centre_id own;
-    duration distance_cost{};     ///< Added for a target in another data centre: its bytes are dear.
+    duration distance_cost{}; ///< Added for a target in another data centre: its bytes are dear.
+    /// A near target that is expected to answer later than this is not preferred for being near.
+    duration near_enough = duration::max();
     std::vector<target_id> tried; ///< Targets that have had this request.
     view_options view;
 };
--- a/src/libteaselcross/delivery/retry_budget.cpp
+++ b/src/libteaselcross/delivery/retry_budget.cpp
@@ -30,6 +30,12 @@
     ++state.requests.at(newest(state));
 }
 
+auto request_rate(retry_budget& state, const retry_budget_options& options, instant now) -> double {
+    advance(state, options, now);
+    const auto requests = std::accumulate(state.requests.begin(), state.requests.end(), 0U);
+    return requests / std::chrono::duration<double>(options.window).count();
+}
+
 auto take_extra(retry_budget& state, const retry_budget_options& options, std::size_t instances, instant now)
     -> bool {
     advance(state, options, now);
--- a/src/libteaselcross/delivery/retry_budget.h
+++ b/src/libteaselcross/delivery/retry_budget.h
@@ -28,6 +28,9 @@
 /// A caller's request for the service arrived.
 auto count_request(retry_budget& state, const retry_budget_options& options, instant now) -> void;
 
+/// Requests a second over the window before @a now.
+auto request_rate(retry_budget& state, const retry_budget_options& options, instant now) -> double;
+
 /// Takes one extra send, when the budget allows it. @a instances share the extra part evenly; the ratio
 /// applies to the requests that this instance has itself seen, so uneven traffic does not overdraw the whole.
 auto take_extra(retry_budget& state, const retry_budget_options& options, std::size_t instances, instant now)
--- a/src/libteaselcross/keyspace/key_map.cpp
+++ b/src/libteaselcross/keyspace/key_map.cpp
@@ -32,6 +32,28 @@
     return range;
 }
 
+auto ranges_to_json(const std::vector<key_range>& ranges) -> nlohmann::json {
+    auto entries = nlohmann::json::array();
+    for (const auto& range : ranges) {
+        entries.push_back(range_to_json(range));
+    }
+    return entries;
+}
+
+/// Reads what a map and its changes have in common. Throws nlohmann::json::exception.
+template <class Content>
+auto read_content(const nlohmann::json& document, Content& content) -> void {
+    content.fences_used = document.at("fences_used").get<std::uint64_t>();
+    content.writer = document.at("writer").get<std::string>();
+    for (const auto& entry : document.at("ranges")) {
+        content.ranges.push_back(range_from_json(entry));
+    }
+}
+
+auto overlap(const key_range& left, const key_range& right) -> bool {
+    return left.first <= right.last && right.first <= left.last;
+}
+
 auto is_complete(const std::vector<key_range>& ranges) -> bool {
     auto expected = shard_key{0};
     for (const auto& range : ranges) {
@@ -53,22 +75,62 @@
 }
 
 auto to_json(const key_map& map) -> nlohmann::json {
-    auto ranges = nlohmann::json::array();
-    for (const auto& range : map.ranges) {
-        ranges.push_back(range_to_json(range));
+    return {{"fences_used", map.fences_used}, {"writer", map.writer}, {"ranges", ranges_to_json(map.ranges)}};
+}
+
+auto to_json(const key_map_changes& changes) -> nlohmann::json {
+    return {{"fences_used", changes.fences_used},
+            {"writer", changes.writer},
+            {"ranges", ranges_to_json(changes.ranges)}};
+}
+
+auto changes_between(const key_map& before, const key_map& after) -> key_map_changes {
+    auto changes = key_map_changes{.fences_used = after.fences_used, .writer = after.writer};
+    for (const auto& range : after.ranges) {
+        const auto* earlier = find_range(before, range.first);
+        if (earlier == nullptr || *earlier != range) {
+            changes.ranges.push_back(range);
+        }
+    }
+    return changes;
+}
+
+auto apply_changes(const key_map& before, const key_map_changes& changes, std::uint64_t revision)
+    -> tl::expected<key_map, std::string> {
+    auto map = key_map{.revision = revision, .fences_used = changes.fences_used, .writer = changes.writer};
+    auto changed = changes.ranges.begin();
+    for (const auto& range : before.ranges) {
+        while (changed != changes.ranges.end() && changed->first <= range.first) {
+            map.ranges.push_back(*changed++);
+        }
+        const auto replaced = (!map.ranges.empty() && overlap(map.ranges.back(), range)) ||
+                              (changed != changes.ranges.end() && overlap(*changed, range));
+        if (!replaced) {
+            map.ranges.push_back(range);
+        }
+    }
+    map.ranges.insert(map.ranges.end(), changed, changes.ranges.end());
+    if (!is_complete(map.ranges)) {
+        return tl::unexpected(std::string{"the changes are for another map"});
     }
-    return {{"fences_used", map.fences_used}, {"writer", map.writer}, {"ranges", std::move(ranges)}};
+    return map;
+}
+
+auto key_map_changes_from_json(const nlohmann::json& document) -> tl::expected<key_map_changes, std::string> {
+    auto changes = key_map_changes{};
+    try {
+        read_content(document, changes);
+    } catch (const nlohmann::json::exception& fault) {
+        return tl::unexpected(std::string{fault.what()});
+    }
+    return changes;
 }
 
 auto key_map_from_json(const nlohmann::json& document, std::uint64_t revision)
     -> tl::expected<key_map, std::string> {
     auto map = key_map{.revision = revision};
     try {
-        map.fences_used = document.at("fences_used").get<std::uint64_t>();
-        map.writer = document.at("writer").get<std::string>();
-        for (const auto& entry : document.at("ranges")) {
-            map.ranges.push_back(range_from_json(entry));
-        }
+        read_content(document, map);
     } catch (const nlohmann::json::exception& fault) {
         return tl::unexpected(std::string{fault.what()});
     }
--- a/src/libteaselcross/keyspace/key_map.h
+++ b/src/libteaselcross/keyspace/key_map.h
@@ -51,6 +51,25 @@
 
 auto to_json(const key_map& map) -> nlohmann::json;
 
+/// What turns one revision of a map into another: the ranges that the earlier one lacks. A moved key changes
+/// a few ranges of hundreds, and every instance has to hear of it.
+struct key_map_changes {
+    std::uint64_t fences_used = 0;
+    std::string writer;
+    std::vector<key_range> ranges;
+};
+
+/// The changes that lead from @a before to @a after. Thread safe on maps that no one changes.
+auto changes_between(const key_map& before, const key_map& after) -> key_map_changes;
+
+/// @a before with @a changes, as @a revision. An error says why they don't fit it. Thread safe likewise.
+auto apply_changes(const key_map& before, const key_map_changes& changes, std::uint64_t revision)
+    -> tl::expected<key_map, std::string>;
+
+auto to_json(const key_map_changes& changes) -> nlohmann::json;
+/// An error says what is wrong with @a document.
+auto key_map_changes_from_json(const nlohmann::json& document) -> tl::expected<key_map_changes, std::string>;
+
 /// An error says what is wrong with @a document.
 auto key_map_from_json(const nlohmann::json& document, std::uint64_t revision)
     -> tl::expected<key_map, std::string>;
--- a/tests/admission/target_view_test.cpp
+++ b/tests/admission/target_view_test.cpp
@@ -53,6 +53,17 @@
     EXPECT_EQ(chosen(views, context, start), "far");
 }
 
+TEST(target_view, a_near_target_that_would_answer_late_is_not_preferred) {
+    auto views = std::vector{view("near", "west"), view("far", "east")};
+    const auto context = choice_context{.own = data_centre_id{"west"},
+                                        .distance_cost = std::chrono::seconds{2},
+                                        .near_enough = milliseconds{300}};
+    on_report(views[0], {.running = 4, .waiting = 4, .slots = 4}, start);
+    EXPECT_EQ(chosen(views, context, start), "near");
+    on_report(views[0], {.running = 4, .waiting = 12, .slots = 4}, start);
+    EXPECT_EQ(chosen(views, context, start), "far");
+}
+
 TEST(target_view, a_silent_target_is_avoided_for_longer_each_time) {
     auto silent = view("a");
     on_sent(silent);
--- /dev/null
+++ b/tests/keyspace/key_map_test.cpp
@@ -0,0 +1,67 @@
+// Differences between key maps: what is applied gives the later map, or is refused.
+
+#include "keyspace/key_map.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace teaselcross {
+namespace {
+
+/// A complete map with cuts at random keys and random holders.
+auto any_map() -> key_map {
+    auto cuts = std::set<shard_key>{0};
+    for (const auto cut : *rc::gen::container<std::vector<shard_key>>(rc::gen::inRange(1U, 40U))) {
+        cuts.insert(cut);
+    }
+    auto map = key_map{.fences_used = 9, .writer = "w"};
+    for (auto each = cuts.begin(); each != cuts.end(); ++each) {
+        const auto next = std::next(each);
+        map.ranges.push_back({.first = *each,
+                              .last = next == cuts.end() ? last_shard_key : *next - 1,
+                              .fence = *rc::gen::inRange<std::uint64_t>(1, 4),
+                              .holder = {.id = target_id{"t" + std::to_string(*rc::gen::inRange(0, 3))}}});
+        if (*rc::gen::inRange(0, 4) == 0) {
+            map.ranges.back().next = {.id = target_id{"n"}, .birth = 7};
+            map.ranges.back().next_fence = 8;
+        }
+    }
+    return map;
+}
+
+RC_GTEST_PROP(key_map, changes_between_two_maps_turn_one_into_the_other, ()) {
+    const auto before = any_map();
+    const auto after = any_map();
+    const auto told = key_map_changes_from_json(to_json(changes_between(before, after)));
+    RC_ASSERT(told.has_value());
+    const auto applied = apply_changes(before, *told, 5);
+    RC_ASSERT(applied.has_value());
+    RC_ASSERT(applied->ranges == after.ranges);
+    RC_ASSERT(applied->revision == 5U);
+}
+
+TEST(key_map, one_moved_range_of_hundreds_is_told_alone) {
+    auto before = key_map{};
+    constexpr auto width = shard_key{128};
+    for (auto first = shard_key{0}; first <= last_shard_key; first += width) {
+        before.ranges.push_back({.first = first, .last = first + width - 1, .fence = first + 1});
+    }
+    auto after = before;
+    after.ranges[100].next = {.id = target_id{"next"}, .birth = 1};
+    EXPECT_EQ(changes_between(before, after).ranges.size(), 1U);
+}
+
+TEST(key_map, changes_for_another_map_are_refused) {
+    const auto before = key_map{.ranges = {{.first = 0, .last = last_shard_key}}};
+    const auto changes = key_map_changes{.ranges = {{.first = 10, .last = 20}}};
+    EXPECT_FALSE(apply_changes(before, changes, 2).has_value());
+}
+
+TEST(key_map, unreadable_changes_are_refused) {
+    EXPECT_FALSE(key_map_changes_from_json(nlohmann::json::parse("{\"ranges\": 3}")).has_value());
+}
+
+} // namespace
+} // namespace teaselcross
