Follow key maps by differences, compare with the controller, read through several instances; split long files

Change: followers get the latest version of each object, key maps as differences; an instance that knows other versions than the controller asks it for them; an instance that the store does not answer refuses to pass reads on; reads try three others.

--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -20,8 +20,12 @@
 constexpr auto recognise = "/controller/recognise";
 } // namespace controller_paths
 
+/// Writes whose answer was lost are repeated for so long.
+constexpr auto write_patience = duration{std::chrono::seconds{2}};
+
 struct controller_options {
-    lease_options lease{.term = std::chrono::milliseconds{1500}, .renewal = std::chrono::milliseconds{500}};
+    /// Short enough for a successor to renew grants before they run out.
+    lease_options lease{.term = std::chrono::milliseconds{1200}, .renewal = std::chrono::milliseconds{400}};
     /// A controller whose lease ran out, because the store does not answer it, goes on renewing grants while
     /// most instances report to it, and no longer than this. A successor first wins most instances over, or
     /// waits.
@@ -34,7 +38,7 @@
     duration write_interval =
         std::chrono::milliseconds{40}; ///< Changes that come together are written together.
     /// Reports that stay unanswered for so long make an instance look at the lease.
-    duration silence = std::chrono::milliseconds{900};
+    duration silence = std::chrono::milliseconds{700};
 };
 
 /// What is known of an earlier controller.
@@ -65,6 +69,8 @@
     auto on_recognise(const std::string& body) -> std::string;
 
     auto controls() const -> bool { return m_controls; }
+    /// Where the instance that holds the lease can be reached, as far as is known.
+    auto holder_address() const -> std::optional<endpoint>;
 
     /// What the controller said last of what it knows.
     struct confirmation {
@@ -119,7 +125,6 @@
     auto report() -> boost::asio::awaitable<void>;
     auto take_report(const nlohmann::json& report, instant now) -> void;
     auto own_report() -> nlohmann::json;
-    auto holder_address() const -> std::optional<endpoint>;
 
     const gateway_settings& m_options;
     controller_options m_limits;
--- /dev/null
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -0,0 +1,264 @@
+// How the controller carries its decisions on keys out: orders at the targets, records in the store, reports
+// of load.
+
+#include "gateway/controller.h"
+
+#include "logging/log.h"
+#include "platform/messages.h"
+#include "platform/store.h"
+#include "runtime/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace teaselcross {
+
+namespace asio = boost::asio;
+using json = nlohmann::json;
+
+namespace {
+
+/// At the very first start the list of targets fills over some heartbeats: keys are given out once it has
+/// been quiet for so long,
+constexpr auto first_assignment_quiet = duration{std::chrono::milliseconds{1500}};
+/// and at the latest then.
+constexpr auto first_assignment_latest = duration{std::chrono::milliseconds{5000}};
+/// Capacity assumed for a target that nothing is known of, as the time of one request.
+constexpr auto usual_service_us = 100'000.0;
+
+} // namespace
+
+auto controller::grant_options() const -> grantor_options {
+    auto options = grantor_options{};
+    options.hold = std::min(options.hold, m_options.longest_hold);
+    options.renewal = std::min(options.renewal, options.hold / 4); // So that three renewals may fail.
+    return options;
+}
+
+auto controller::load_maps() -> asio::awaitable<bool> {
+    const auto routes = m_known.routes();
+    const auto term = m_term;
+    for (const auto& [service, policy] : routes->services) {
+        if (!policy.keyed || m_services[service].loaded) {
+            continue;
+        }
+        auto call = store_call{.kind = store_call_kind::get,
+                               .key = std::string{platform::kinds::key_maps} + "/" + service.value()};
+        const auto reply = co_await m_store.call_directly(std::move(call));
+        if (m_term != term || (reply.status != store_status::ok && reply.status != store_status::missing)) {
+            co_return false;
+        }
+        auto map = key_map{};
+        if (reply.status == store_status::ok) {
+            auto parsed =
+                key_map_from_json(json::parse(reply.objects.front().value, nullptr, false), reply.version);
+            if (!parsed) {
+                log::error("key_map_unreadable", {{"service", service}, {"fault", parsed.error()}});
+                co_return false;
+            }
+            map = std::move(*parsed);
+        }
+        auto& state = m_services[service];
+        state.grantor.options = grant_options();
+        take_over(state.grantor, std::move(map), m_moves_from, monotonic_now());
+        state.loaded = true;
+    }
+    co_return true;
+}
+
+auto controller::tick(instant now) -> void {
+    for (auto& [service, state] : m_services) {
+        if (state.loaded && m_known.policy(service).keyed) {
+            tick_service(service, state, now);
+        }
+    }
+}
+
+auto controller::tick_service(const service_id& service, service_control& state, instant now) -> void {
+    auto& grantor = state.grantor;
+    refresh_holders(service, state, now);
+    const auto leads = holds_lease(m_lease, now);
+    if (grantor.map.ranges.empty()) {
+        if (state.holders_seen != grantor.holders.size()) {
+            state.holders_seen = grantor.holders.size();
+            state.holders_since = now;
+        }
+        const auto settled =
+            now - state.holders_since >= first_assignment_quiet || now - m_began >= first_assignment_latest;
+        if (leads && settled && assign_first(grantor)) {
+            log::info("keys_assigned", {{"service", service}, {"ranges", grantor.map.ranges.size()}});
+        }
+    } else if (leads && now >= state.next_balance) {
+        state.next_balance = now + m_limits.balance_interval;
+        balance(service, state, now);
+    }
+    if (leads && now >= state.next_write) {
+        if (auto map = next_write(grantor)) {
+            state.next_write = now + m_limits.write_interval;
+            map->writer = self().value() + "#" + std::to_string(++m_writes);
+            asio::co_spawn(m_executor, record(service, std::move(*map), m_term), asio::detached);
+        }
+    }
+    for (auto& order : due_orders(grantor, now)) {
+        asio::co_spawn(m_executor, carry_out(service, std::move(order), m_term), asio::detached);
+    }
+}
+
+auto controller::refresh_holders(const service_id& service, service_control& state, instant now) -> void {
+    auto holders = std::map<target_id, key_holder>{};
+    for (const auto& [id, known] : m_known.targets()) {
+        const auto& listed = known->view.listed;
+        if (listed.service != service) {
+            continue;
+        }
+        const auto out = m_known.taken_out_since(listed.data_centre).has_value();
+        const auto leaving = listed.leaving || !known->listed || out;
+        const auto speed = m_speeds.find(id);
+        const auto service_us = speed != m_speeds.end() && speed->second.service_us > 0
+                                    ? speed->second.service_us
+                                    : usual_service_us;
+        constexpr auto microseconds = 1e6;
+        holders[id] = {.life = {.id = id, .birth = listed.birth},
+                       .eligible = !leaving && !is_cold(known->view, now),
+                       .leaving = leaving,
+                       .weight = listed.slots * microseconds / service_us};
+    }
+    set_holders(state.grantor, std::move(holders));
+}
+
+auto controller::balance(const service_id& service, service_control& state, instant now) -> void {
+    auto& grantor = state.grantor;
+    for (auto& rates : state.rates) {
+        fade(rates, now);
+    }
+    evict_holders(grantor, range_loads(grantor.map, state.rates.front()), now);
+    if (now < m_moves_from) {
+        return;
+    }
+    for (const auto& rates : state.rates) {
+        for (const auto& move : plan_moves(grantor, rates)) {
+            log::info("range_moves", {{"service", service},
+                                      {"first", move.first},
+                                      {"last", move.last},
+                                      {"to", move.to.id},
+                                      {"rates_over_ms", rates.options.memory.count() / 1000}});
+            m_measured.count(counter::ranges_moved);
+            start_move(grantor, move.first, move.last, move.to);
+        }
+    }
+}
+
+auto controller::carry_out(service_id service, key_order order, std::uint64_t term) -> asio::awaitable<void> {
+    ++m_orders_in_flight;
+    const auto target = m_known.target(order.to.id);
+    auto result = order_result::not_sent;
+    auto handover = std::string{};
+    auto sent = monotonic_now();
+    const auto limits = grant_options();
+    const auto timeout = order.kind == order_kind::grant ? limits.call_timeout : limits.release_timeout;
+    if (target != nullptr) {
+        auto peer = endpoint{.host = target->view.listed.host, .port = target->view.listed.port};
+        const auto request = platform::make_order(order, peer.host);
+        auto opened = co_await open_exchange(m_order_pool, std::move(peer), duration::max());
+        // Opening may have taken long, and the right to give orders may have ended meanwhile.
+        sent = monotonic_now();
+        if (opened && m_term == term && may_order(sent)) {
+            result = order_result::unanswered;
+            const auto read_limits = exchange_limits{.answer_timeout = timeout, .stall_timeout = timeout};
+            if (co_await send_request(*opened, request, timeout) &&
+                co_await receive_answer(*opened, false, read_limits)) {
+                auto response = http_response{opened->header()};
+                result = platform::read_order_answer(order, response, handover);
+                end_exchange(m_order_pool, std::move(*opened));
+            } else {
+                abort_exchange(*opened);
+            }
+        }
+    }
+    --m_orders_in_flight;
+    const auto now = monotonic_now();
+    m_measured.count(result == order_result::done ? counter::grants_made : counter::grants_unanswered);
+    if (result != order_result::done || order.kind == order_kind::release) {
+        log::info("key_order", {{"kind", name_in(order_kind_names, order.kind)},
+                                {"service", service},
+                                {"target", order.to.id},
+                                {"first", order.first},
+                                {"last", order.last},
+                                {"fence", order.fence},
+                                {"result", name_in(order_result_names, result)},
+                                {"ms", (now - sent).count() / 1000}});
+    }
+    const auto found = m_services.find(service);
+    if (m_term == term && found != m_services.end()) {
+        on_order_ended(found->second.grantor, order, result, handover, sent, now);
+    }
+}
+
+auto controller::record(service_id service, key_map map, std::uint64_t term) -> asio::awaitable<void> {
+    const auto call =
+        store_call{.kind = map.revision == 0 ? store_call_kind::create : store_call_kind::update,
+                   .key = std::string{platform::kinds::key_maps} + "/" + service.value(),
+                   .value = to_json(map).dump(),
+                   .expected_version = map.revision};
+    const auto same = [&map](const std::string& value) {
+        const auto found = json::parse(value, nullptr, false);
+        return found.is_object() && found.value("writer", std::string{}) == map.writer;
+    };
+    while (m_controls && m_term == term) {
+        const auto reply = co_await m_store.write(call, same, write_patience);
+        const auto state = m_services.find(service);
+        if (m_term != term || state == m_services.end()) {
+            co_return;
+        }
+        if (reply.status == store_status::ok) {
+            on_written(state->second.grantor, map, reply.version);
+            map.revision = reply.version;
+            m_known.set_keys(service, map);
+            tick_service(service, state->second, monotonic_now());
+            co_return;
+        }
+        if (reply.status == store_status::conflict || reply.status == store_status::missing) {
+            end("another instance has written the record");
+            co_return;
+        }
+    }
+}
+
+auto controller::own_report() -> json {
+    auto keys = json::object();
+    for (const auto& [service, counts] : m_router.take_sample().key_requests) {
+        auto list = json::array();
+        for (const auto& [key, count] : counts) {
+            list.push_back({key, count});
+        }
+        keys[service.value()] = std::move(list);
+    }
+    auto speeds = json::object();
+    for (const auto& [id, known] : m_known.targets()) {
+        if (known->view.service_us > 0 && m_known.policy(known->view.listed.service).keyed) {
+            speeds[id.value()] = static_cast<std::int64_t>(known->view.service_us);
+        }
+    }
+    return {{"from", m_options.instance}, {"keys", std::move(keys)}, {"speeds", std::move(speeds)}};
+}
+
+auto controller::take_report(const json& report, instant now) -> void {
+    constexpr auto smoothing = 0.1; // Weight of one instance's word on a target's speed.
+    for (const auto& [service, counts] : report.at("keys").items()) {
+        for (auto& rates : m_services[service_id{service}].rates) {
+            fade(rates, now);
+            for (const auto& entry : counts) {
+                add_requests(rates, entry.at(0).get<shard_key>(), entry.at(1).get<std::uint32_t>());
+            }
+        }
+    }
+    for (const auto& [target, service_us] : report.at("speeds").items()) {
+        auto& speed = m_speeds[target_id{target}].service_us;
+        const auto sample = service_us.get<double>();
+        speed = speed > 0 ? speed + (sample - speed) * smoothing : sample;
+    }
+}
+
+} // namespace teaselcross
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -1,10 +1,10 @@
 #include "gateway/gateway.h"
 
+#include "gateway/knowledge_feed.h"
 #include "gateway/peers.h"
 #include "gateway/store_follower.h"
 #include "logging/log.h"
 #include "platform/messages.h"
-#include "platform/records.h"
 #include "platform/settings.h"
 #include "platform/store.h"
 #include "runtime/clock.h"
@@ -41,7 +41,7 @@
 /// What the controller said is news for so long: somewhat more than two of its answers.
 constexpr auto confirmation_life = duration{std::chrono::milliseconds{1000}};
 /// News reaches instances at different moments; a difference that lasts longer is a watch that hangs.
-constexpr auto disagreement_patience = duration{std::chrono::milliseconds{600}};
+constexpr auto disagreement_patience = duration{std::chrono::milliseconds{300}};
 /// Between two lists while nobody confirms what is known; changes must take effect within two seconds.
 constexpr auto refresh_interval = duration{std::chrono::milliseconds{900}};
 constexpr auto internal_body_limit = 4U * 1024 * 1024;
@@ -81,19 +81,11 @@
     auto server_for(const endpoint& address, request_handler handler) -> std::unique_ptr<http_server>;
     auto answer_readiness(server_connection& link, http_request request) -> asio::awaitable<bool>;
     auto is_ready() const -> bool;
-    auto add_follower(const char* kind, follower_events events, duration pause) -> void;
+    auto add_follower(follower_options options, follower_events events) -> void;
     auto digests() const -> std::map<std::string, std::uint64_t>;
     auto start_following() -> asio::awaitable<void>;
     auto compare_knowledge() -> asio::awaitable<void>;
     auto follow_all() -> void;
-    auto target_events() -> follower_events;
-    auto route_events() -> follower_events;
-    auto taken_out_events() -> follower_events;
-    auto key_map_events() -> follower_events;
-    auto take_target(const store_object& object) -> void;
-    auto take_routes(const store_object& object) -> void;
-    auto take_keys(const store_object& object) -> void;
-    auto return_grace() const -> std::optional<duration>;
     auto keep_house() -> asio::awaitable<void>;
     auto watch_signals() -> void;
     auto reload(const char* cause) -> void;
@@ -107,6 +99,7 @@
     metrics m_measured;
     knowledge m_known;
     store_access m_store;
+    knowledge_feed m_feed;
     request_router m_router;
     controller m_control;
     peer_service m_peers;
@@ -115,8 +108,6 @@
     std::unique_ptr<http_server> m_internal;
     asio::signal_set m_signals;
     std::vector<std::unique_ptr<store_follower>> m_followed;
-    std::map<std::string, std::string>
-        m_faulty; ///< Entries that could not be read, so that each is logged once.
     bool m_stopping = false;
     bool m_was_ready = false;
 };
@@ -124,9 +115,8 @@
 gateway::gateway(gateway_settings options, std::string settings_file)
     : m_options{std::move(options)}, m_settings_file{std::move(settings_file)},
       m_known{m_options, executor()}, m_store{m_options, m_known, executor(), platform::platform_dialect},
-      m_router{m_options, m_known, m_measured, executor()}, m_control{m_options, m_known,    m_store,
-                                                                      m_router,  m_measured, executor(),
-                                                                      m_birth},
+      m_feed{m_options, m_known, m_store}, m_router{m_options, m_known, m_measured, executor()},
+      m_control{m_options, m_known, m_store, m_router, m_measured, executor(), m_birth},
       m_peers{m_options, m_store, m_control, m_measured}, m_signals{m_context, SIGTERM, SIGINT, SIGHUP} {
     m_settings_text = read_file(m_settings_file).value_or(std::string{});
 }
@@ -151,6 +141,12 @@
     m_readiness->start();
     m_internal->start();
     watch_signals();
+    m_feed.set_limits_listener([this](const caller_limits& limits) {
+        m_callers->set_limits({.header_limit = limits.header_bytes,
+                               .body_limit = static_cast<std::uint32_t>(limits.body_bytes),
+                               .idle_limit = limits.idle_timeout,
+                               .request_limit = limits.header_timeout});
+    });
     m_control.set_digests([this] { return digests(); });
     follow_all();
     spawn(probe_store(m_store, platform::kinds::routes_object));
@@ -184,134 +180,7 @@
     co_return co_await write_answer(link, std::move(answer));
 }
 
-auto gateway::return_grace() const -> std::optional<duration> {
-    const auto now = monotonic_now();
-    const auto back = m_store.healthy_since() + m_options.returning;
-    // Entries also lapse while the store is away; those of targets that live come back soon after it.
-    if (m_store.outages() == 0 || (m_store.healthy() && now >= back)) {
-        return std::nullopt;
-    }
-    return m_store.healthy() ? back - now : m_options.returning;
-}
-
-auto gateway::take_target(const store_object& object) -> void {
-    const auto name = object.key.substr(object.key.find('/') + 1);
-    const auto now = monotonic_now();
-    auto parsed = object.removed ? tl::expected<listed_target, std::string>{tl::unexpect, "removed"}
-                                 : platform::parse_target(name, object.value);
-    if (parsed) {
-        m_faulty.erase(object.key);
-        m_known.put_target(*parsed, object.version, now);
-        return;
-    }
-    if (!object.removed && m_faulty[object.key] != parsed.error()) {
-        m_faulty[object.key] = parsed.error();
-        log::warning("target_entry_unusable", {{"target", name}, {"fault", parsed.error()}});
-    }
-    if (object.removed) {
-        m_known.drop_target(target_id{name}, return_grace(), now);
-    }
-}
-
-auto gateway::target_events() -> follower_events {
-    return {.listed =
-                [this](const std::vector<store_object>& objects) {
-                    auto names = std::vector<target_id>{};
-                    for (const auto& object : objects) {
-                        names.emplace_back(object.key.substr(object.key.find('/') + 1));
-                        take_target(object);
-                    }
-                    m_known.keep_only(names, return_grace(), monotonic_now());
-                },
-            .changed = [this](const store_object& object) { take_target(object); }};
-}
-
-auto gateway::take_routes(const store_object& object) -> void {
-    if (object.key != platform::kinds::routes_object || object.removed) {
-        return;
-    }
-    auto parsed = platform::parse_routes(object.value);
-    if (!parsed) {
-        log::warning("config_unusable", {{"revision", object.version}, {"fault", parsed.error()}});
-        return;
-    }
-    const auto limits = parsed->limits;
-    if (!m_known.set_routes(std::move(*parsed))) {
-        return;
-    }
-    m_callers->set_limits({.header_limit = limits.header_bytes,
-                           .body_limit = static_cast<std::uint32_t>(limits.body_bytes),
-                           .idle_limit = limits.idle_timeout,
-                           .request_limit = limits.header_timeout});
-}
-
-auto gateway::route_events() -> follower_events {
-    return {.listed =
-                [this](const std::vector<store_object>& objects) {
-                    for (const auto& object : objects) {
-                        take_routes(object);
-                    }
-                },
-            .changed = [this](const store_object& object) { take_routes(object); }};
-}
-
-auto gateway::taken_out_events() -> follower_events {
-    const auto name_of = [](const store_object& object) {
-        return data_centre_id{object.key.substr(object.key.find('/') + 1)};
-    };
-    return {.listed =
-                [this, name_of](const std::vector<store_object>& objects) {
-                    const auto now = monotonic_now();
-                    auto named = std::vector<data_centre_id>{};
-                    for (const auto& object : objects) {
-                        named.push_back(name_of(object));
-                        m_known.take_out(named.back(), now);
-                    }
-                    auto back = std::vector<data_centre_id>{};
-                    for (const auto& [data_centre, since] : m_known.taken_out()) {
-                        if (std::find(named.begin(), named.end(), data_centre) == named.end()) {
-                            back.push_back(data_centre);
-                        }
-                    }
-                    for (const auto& data_centre : back) {
-                        m_known.bring_back(data_centre, now);
-                    }
-                },
-            .changed =
-                [this, name_of](const store_object& object) {
-                    if (object.removed) {
-                        m_known.bring_back(name_of(object), monotonic_now());
-                    } else {
-                        m_known.take_out(name_of(object), monotonic_now());
-                    }
-                }};
-}
-
-auto gateway::take_keys(const store_object& object) -> void {
-    if (object.removed) {
-        return;
-    }
-    const auto service = service_id{object.key.substr(object.key.find('/') + 1)};
-    auto parsed = key_map_from_json(nlohmann::json::parse(object.value, nullptr, false), object.version);
-    if (!parsed) {
-        log::error("key_map_unreadable", {{"service", service}, {"fault", parsed.error()}});
-        return;
-    }
-    m_known.set_keys(service, std::move(*parsed));
-}
-
-auto gateway::key_map_events() -> follower_events {
-    return {.listed =
-                [this](const std::vector<store_object>& objects) {
-                    for (const auto& object : objects) {
-                        take_keys(object);
-                    }
-                },
-            .changed = [this](const store_object& object) { take_keys(object); }};
-}
-
-auto gateway::add_follower(const char* kind, follower_events events, duration pause) -> void {
-    auto options = follower_options{.kind = kind, .pause = pause};
+auto gateway::add_follower(follower_options options, follower_events events) -> void {
     m_followed.push_back(std::make_unique<store_follower>(m_store, m_known, m_options, executor(),
                                                           std::move(options), std::move(events)));
 }
@@ -355,18 +224,32 @@
             }
             if (now >= next_refresh[each->kind()]) {
                 next_refresh[each->kind()] = now + refresh_interval;
-                const auto listed = co_await each->refresh();
-                log::debug("knowledge_refreshed", {{"kind", each->kind()}, {"listed", listed}});
+                const auto controller = heard && each->listed() ? m_control.holder_address() : std::nullopt;
+                auto learnt = false;
+                if (controller) {
+                    learnt = co_await each->compare_with(*controller);
+                }
+                if (!learnt) {
+                    learnt = co_await each->refresh();
+                }
+                if (!learnt) {
+                    next_refresh[each->kind()] = monotonic_now() + compare_interval;
+                }
+                log::debug("knowledge_refreshed", {{"kind", each->kind()},
+                                                   {"asked_controller", controller.has_value()},
+                                                   {"learnt", learnt}});
             }
         }
     }
 }
 
 auto gateway::follow_all() -> void {
-    add_follower(platform::kinds::targets, target_events(), entry_pause);
-    add_follower(platform::kinds::routes, route_events(), entry_pause);
-    add_follower(platform::kinds::taken_out, taken_out_events(), entry_pause);
-    add_follower(platform::kinds::key_maps, key_map_events(), key_map_pause);
+    add_follower({.kind = platform::kinds::targets, .pause = entry_pause}, m_feed.target_events());
+    add_follower({.kind = platform::kinds::routes, .pause = entry_pause}, m_feed.route_events());
+    add_follower({.kind = platform::kinds::taken_out, .pause = entry_pause}, m_feed.taken_out_events());
+    add_follower(
+        {.kind = platform::kinds::key_maps, .pause = key_map_pause, .difference = key_map_difference},
+        m_feed.key_map_events());
     for (const auto& each : m_followed) {
         m_peers.add_follower(*each);
     }
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -122,6 +122,12 @@
     : m_options{options}, m_store{store}, m_control{control}, m_measured{measured} {}
 
 auto peer_service::relay(server_connection& link, const http_request& request) -> asio::awaitable<bool> {
+    if (!m_store.healthy()) {
+        // The one who asks tries another instance at once instead of waiting for this one's silence.
+        auto refusal = http_response{http::status::service_unavailable, 11};
+        refusal.prepare_payload();
+        co_return co_await write_answer(link, std::move(refusal));
+    }
     auto passed_on = http_request{http::verb::get, request.target(), 11};
     passed_on.set(http::field::host, m_options.store.host);
     auto store = m_options.store;
@@ -138,12 +144,14 @@
         co_return co_await relay(link, request);
     }
     auto response = http_response{http::status::ok, 11};
-    if (target == follow_path && request.method() == http::verb::post) {
+    if ((target == follow_path || target == compare_path) && request.method() == http::verb::post) {
         const auto asked = json::parse(request.body(), nullptr, false);
         const auto found =
             m_followers.find(asked.is_object() ? asked.value("kind", std::string{}) : std::string{});
-        if (found != m_followers.end()) {
+        if (found != m_followers.end() && target == follow_path) {
             response.body() = co_await found->second->answer_follower(std::move(request.body()));
+        } else if (found != m_followers.end()) {
+            response.body() = found->second->answer_comparison(asked);
         }
     } else if (target == controller_paths::report && request.method() == http::verb::post) {
         response.body() = m_control.on_report(request.body());
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -2,6 +2,8 @@
 
 // Takes callers' requests, sends each to a target, and returns the target's answer or a refusal.
 
+#include "admission/gate.h"
+#include "admission/returning.h"
 #include "delivery/retry_budget.h"
 #include "gateway/knowledge.h"
 #include "http/server.h"
@@ -49,6 +51,7 @@
     struct choice;
     enum class attempt_end;
 
+    auto budget_options() const -> retry_budget_options;
     auto start_flow(flow& started, const http_request& request) -> std::optional<refusal>;
     auto route(flow& current, http_request& request) -> boost::asio::awaitable<std::optional<refusal>>;
     auto choose(flow& current) -> choice;
@@ -69,10 +72,13 @@
     knowledge& m_known;
     metrics& m_measured;
     boost::asio::any_io_executor m_executor;
+    std::uint64_t m_own_hash; ///< By which this instance ranks the targets that it looks at.
     connection_pool m_pool;
     route_splitter m_splitter;
     std::map<service_id, retry_budget> m_budgets;
-    std::map<std::string, double> m_usual_bytes; ///< Of an answer, smoothed, by rule.
+    std::map<std::string, double> m_usual_bytes;       ///< Of an answer, smoothed, by rule.
+    std::map<std::string, patience_memory> m_patience; ///< By rule.
+    std::map<service_id, lateness_memory> m_lateness;
     traffic_sample m_sample;
     std::mt19937_64 m_random{std::random_device{}()};
 };
--- a/src/teaselcross/gateway/store_access.cpp
+++ b/src/teaselcross/gateway/store_access.cpp
@@ -17,6 +17,10 @@
 /// A watch that hangs tells nothing, so a cheap read asks now and then whether the store still answers.
 constexpr auto probe_interval = duration{std::chrono::milliseconds{600}};
 constexpr auto retry_pause = duration{std::chrono::milliseconds{120}};
+/// Instances asked in turn to pass one read on; where a third of them is refused, one in 27 reads fails.
+constexpr auto relays_tried = 3U;
+/// An instance that could not pass a read on is left alone for so long.
+constexpr auto relay_pause = duration{std::chrono::milliseconds{1500}};
 
 } // namespace
 
@@ -70,17 +74,34 @@
             co_return reply;
         }
     }
+    for (auto tries = 0U; tries < relays_tried; ++tries) {
+        const auto relay = choose_relay();
+        if (!relay) {
+            break;
+        }
+        auto peer = *relay;
+        auto reply = co_await perform_store_call(m_pool, std::move(peer), m_dialect, call, call_timeout);
+        if (reply.status != store_status::unavailable) {
+            co_return reply;
+        }
+        m_avoided[*relay] = monotonic_now() + relay_pause;
+    }
+    co_return store_reply{};
+}
+
+/// Another instance to read through: one that has not failed to a moment ago, if there is any.
+auto store_access::choose_relay() -> std::optional<endpoint> {
+    const auto now = monotonic_now();
+    std::erase_if(m_avoided, [now](const auto& entry) { return now >= entry.second; });
     auto others = std::vector<endpoint>{};
+    auto avoided = std::vector<endpoint>{};
     for (const auto& each : m_known.instances()) {
         if (each.name != m_options.instance) {
-            others.push_back(each.internal);
+            (m_avoided.contains(each.internal) ? avoided : others).push_back(each.internal);
         }
     }
-    if (others.empty()) {
-        co_return store_reply{};
-    }
-    const auto chosen = others[m_random() % others.size()];
-    co_return co_await perform_store_call(m_pool, chosen, m_dialect, std::move(call), call_timeout);
+    const auto& choices = others.empty() ? avoided : others;
+    return choices.empty() ? std::nullopt : std::optional{choices[m_random() % choices.size()]};
 }
 
 auto store_access::write(store_call call, const std::function<bool(const std::string&)>& same,
--- a/src/teaselcross/gateway/store_access.h
+++ b/src/teaselcross/gateway/store_access.h
@@ -38,11 +38,13 @@
 
 private:
     auto note(const store_reply& reply, store_call_kind kind) -> void;
+    auto choose_relay() -> std::optional<endpoint>;
 
     const gateway_settings& m_options;
     const knowledge& m_known;
     const store_dialect& m_dialect;
     connection_pool m_pool;
+    std::map<endpoint, instant> m_avoided; ///< Instances that could not pass a read on, and until when.
     std::mt19937_64 m_random{std::random_device{}()};
     instant m_last_answer{};
     instant m_healthy_since{};
--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace teaselcross {
 
 using json = nlohmann::json;
@@ -20,8 +22,10 @@
 constexpr auto relay_slack = duration{std::chrono::milliseconds{800}};
 /// A relay that did not answer is left alone for so long.
 constexpr auto relay_avoidance = duration{std::chrono::milliseconds{3000}};
-/// Changes kept for followers; one that is further behind gets the whole list.
-constexpr auto most_changes = std::size_t{1000};
+/// Removals kept for followers; one that is further behind gets the whole list.
+constexpr auto most_removals = std::size_t{500};
+/// Earlier values kept for differences: about a second of changes for followers that lag.
+constexpr auto most_past_values = std::size_t{24};
 constexpr auto largest_relayed = std::size_t{16} * 1024 * 1024;
 
 auto digest_of(const std::string& key, std::uint64_t version) -> std::uint64_t {
@@ -67,35 +71,67 @@
 
 auto store_follower::note(const store_object& object) -> void {
     m_last_change = monotonic_now();
-    m_changes.push_back({.number = ++m_number, .object = object});
-    if (m_changes.size() > most_changes) {
-        m_changes.pop_front();
-    }
-    const auto known = m_objects.find(object.key);
-    if (known != m_objects.end()) {
-        m_digest ^= digest_of(object.key, known->second.version);
-        m_objects.erase(known);
+    auto& known = m_objects[object.key];
+    if (known.number > 0 && !known.object.removed) {
+        m_digest ^= digest_of(object.key, known.object.version);
+        if (m_options.difference != nullptr && m_direct) {
+            m_past.push_back({.number = known.number, .object = std::move(known.object)});
+            if (m_past.size() > most_past_values) {
+                m_past.pop_front();
+            }
+        }
     }
-    if (!object.removed) {
+    known = {.object = object, .number = ++m_number};
+    if (object.removed) {
+        m_removed.push_back({.number = m_number, .object = {.key = object.key}});
+        forget_removals();
+    } else {
         m_digest ^= digest_of(object.key, object.version);
-        m_objects[object.key] = object;
     }
 }
 
+auto store_follower::forget_removals() -> void {
+    while (m_removed.size() > most_removals) {
+        const auto& oldest = m_removed.front();
+        m_forgotten = oldest.number;
+        const auto found = m_objects.find(oldest.object.key);
+        if (found != m_objects.end() && found->second.number == oldest.number) {
+            m_objects.erase(found);
+        }
+        m_removed.pop_front();
+    }
+}
+
+/// Whether @a object is no news: a refresh may be faster than a watch.
+auto store_follower::is_known(const store_object& object) const -> bool {
+    const auto found = m_objects.find(object.key);
+    if (found == m_objects.end()) {
+        return false;
+    }
+    const auto& known = found->second.object;
+    const auto same = object.version == known.version && (known.removed || !object.removed);
+    return object.version < known.version || same;
+}
+
 auto store_follower::take_list(const std::vector<store_object>& objects) -> void {
-    auto lacking = m_objects;
+    auto lacking = std::map<std::string, std::uint64_t>{}; // Versions by key.
+    for (const auto& [key, known] : m_objects) {
+        if (!known.object.removed) {
+            lacking.emplace(key, known.object.version);
+        }
+    }
     for (const auto& object : objects) {
         const auto known = m_objects.find(object.key);
         lacking.erase(object.key);
-        if (known == m_objects.end() || known->second.version != object.version) {
+        if (known == m_objects.end() || known->second.object.removed ||
+            known->second.object.version != object.version) {
             note(object);
+        } else {
+            known->second.object.value = object.value; // Of a patched one only the version was known.
         }
     }
-    for (auto& [key, object] : lacking) {
-        auto removed = object;
-        removed.removed = true;
-        removed.value.clear();
-        note(removed);
+    for (const auto& [key, version] : lacking) {
+        note({.key = key, .version = version, .removed = true});
     }
     m_listed = true;
     m_events.listed(objects);
@@ -103,9 +139,8 @@
 }
 
 auto store_follower::take_event(const store_object& object) -> void {
-    const auto known = m_objects.find(object.key);
-    if (known != m_objects.end() && object.version < known->second.version) {
-        return; // A refresh was faster than the watch.
+    if (is_known(object)) {
+        return;
     }
     note(object);
     m_events.changed(object);
@@ -194,23 +229,80 @@
         }
         epoch = document.at("epoch").get<std::uint64_t>();
         number = document.at("number").get<std::uint64_t>();
-        auto objects = std::vector<store_object>{};
-        for (const auto& entry : document.at("objects")) {
-            objects.push_back({.key = entry.at(0).get<std::string>(),
-                               .version = entry.at(1).get<std::uint64_t>(),
-                               .value = entry.at(2).get<std::string>(),
-                               .removed = entry.at(3).get<bool>()});
+        if (!take_relayed(document)) {
+            epoch = 0; // Differences that don't fit: the whole list is asked for next.
         }
-        m_at = std::max(m_at, document.at("at").get<std::uint64_t>());
-        if (document.at("whole").get<bool>()) {
-            take_list(objects);
-        } else {
-            for (const auto& object : objects) {
-                take_event(object);
+    }
+}
+
+/// Takes what a relay has told. False when a difference did not fit what is known here.
+auto store_follower::take_relayed(const json& document) -> bool {
+    auto objects = std::vector<store_object>{};
+    auto fits = true;
+    const auto whole = document.at("whole").get<bool>();
+    for (const auto& entry : document.at("objects")) {
+        auto object = store_object{.key = entry.at(0).get<std::string>(),
+                                   .version = entry.at(1).get<std::uint64_t>(),
+                                   .value = entry.at(2).get<std::string>(),
+                                   .removed = entry.at(3).get<bool>()};
+        const auto base = entry.at(4).get<std::uint64_t>();
+        if (whole) {
+            objects.push_back(std::move(object));
+        } else if (base == 0) {
+            take_event(object);
+        } else if (!is_known(object)) {
+            const auto taken = m_events.patched(object, base);
+            fits = fits && taken;
+            if (taken) {
+                object.value.clear();
+                note(object);
             }
-            m_signal.notify();
         }
     }
+    m_at = std::max(m_at, document.at("at").get<std::uint64_t>());
+    if (whole) {
+        take_list(objects);
+    } else {
+        m_signal.notify();
+    }
+    return fits;
+}
+
+/// The difference of @a tracked to what a follower that knows the changes up to @a known has; null when that
+/// is not known any more.
+auto store_follower::difference_since(const tracked_object& tracked, std::uint64_t known)
+    -> const cached_difference* {
+    const auto past = std::find_if(m_past.rbegin(), m_past.rend(), [&](const auto& each) {
+        return each.object.key == tracked.object.key && each.number <= known;
+    });
+    if (m_options.difference == nullptr || past == m_past.rend() || past->object.value.empty()) {
+        return nullptr;
+    }
+    const auto from = past->object.version;
+    const auto to = tracked.object.version;
+    const auto made = std::find_if(m_differences.begin(), m_differences.end(),
+                                   [&](const auto& each) { return each.from == from && each.to == to; });
+    if (made != m_differences.end()) {
+        return &*made;
+    }
+    auto text = m_options.difference(past->object.value, tracked.object.value);
+    if (!text) {
+        return nullptr;
+    }
+    m_differences.push_back({.from = from, .to = to, .text = std::move(*text)});
+    if (m_differences.size() > most_past_values) {
+        m_differences.pop_front();
+    }
+    return &m_differences.back();
+}
+
+auto store_follower::entry_for(const tracked_object& tracked, std::uint64_t known) -> json {
+    const auto& object = tracked.object;
+    const auto* difference = object.removed ? nullptr : difference_since(tracked, known);
+    if (difference != nullptr) {
+        return {object.key, object.version, difference->text, false, difference->from};
+    }
+    return {object.key, object.version, object.value, object.removed, 0};
 }
 
 auto store_follower::answer_follower(std::string body) -> boost::asio::awaitable<std::string> {
@@ -223,19 +315,13 @@
     if (same && known == m_number) {
         co_await m_signal.wait(relay_wait);
     }
-    const auto oldest = m_changes.empty() ? m_number + 1 : m_changes.front().number;
-    const auto whole = !same || known + 1 < oldest;
+    const auto whole = !same || known < m_forgotten;
     auto objects = json::array();
-    if (whole) {
-        for (const auto& [key, object] : m_objects) {
-            objects.push_back({key, object.version, object.value, false});
-        }
-    } else {
-        for (const auto& each : m_changes) {
-            if (each.number > known) {
-                objects.push_back(
-                    {each.object.key, each.object.version, each.object.value, each.object.removed});
-            }
+    for (const auto& [key, tracked] : m_objects) {
+        if (whole && !tracked.object.removed) {
+            objects.push_back({key, tracked.object.version, tracked.object.value, false, 0});
+        } else if (!whole && tracked.number > known) {
+            objects.push_back(entry_for(tracked, known));
         }
     }
     const auto answer = json{{"epoch", m_epoch},
@@ -246,6 +332,61 @@
     co_return answer.dump();
 }
 
+auto store_follower::answer_comparison(const json& asked) const -> std::string {
+    if (!m_listed || !asked.contains("versions") || !asked.at("versions").is_object()) {
+        return {};
+    }
+    const auto& versions = asked.at("versions");
+    auto objects = json::array();
+    auto present = json::array();
+    for (const auto& [key, tracked] : m_objects) {
+        const auto& object = tracked.object;
+        const auto same = versions.contains(key) && versions.at(key) == object.version;
+        if (!object.removed && (same || object.value.empty())) {
+            present.push_back(key); // Of one that was patched here only the version is known.
+        } else if (!object.removed) {
+            objects.push_back({key, object.version, object.value, false, 0});
+        }
+    }
+    return json{
+        {"at", m_at}, {"whole", false}, {"objects", std::move(objects)}, {"present", std::move(present)}}
+        .dump();
+}
+
+auto store_follower::compare_with(endpoint peer) -> boost::asio::awaitable<bool> {
+    auto versions = json::object();
+    for (const auto& [key, tracked] : m_objects) {
+        if (!tracked.object.removed) {
+            versions[key] = tracked.object.version;
+        }
+    }
+    auto request = http_request{boost::beast::http::verb::post, compare_path, 11};
+    request.set(boost::beast::http::field::host, peer.host);
+    request.body() = json{{"kind", m_options.kind}, {"versions", versions}}.dump();
+    request.prepare_payload();
+    const auto answer =
+        co_await whole_exchange(m_pool, std::move(peer), std::move(request), relay_slack, largest_relayed);
+    const auto document = answer ? json::parse(answer->body(), nullptr, false) : json{};
+    if (!document.is_object() || !document.contains("present")) {
+        co_return false;
+    }
+    auto lacking = versions;
+    for (const auto& key : document.at("present")) {
+        lacking.erase(key.get<std::string>());
+    }
+    for (const auto& entry : document.at("objects")) {
+        lacking.erase(entry.at(0).get<std::string>());
+    }
+    const auto at = document.at("at").get<std::uint64_t>();
+    for (const auto& [key, version] : lacking.items()) {
+        if (version.get<std::uint64_t>() <= at) { // A younger one is news that the peer has not heard yet.
+            take_event({.key = key, .version = at, .removed = true});
+        }
+    }
+    static_cast<void>(take_relayed(document));
+    co_return true;
+}
+
 auto store_follower::run() -> boost::asio::awaitable<void> {
     while (true) {
         if (const auto from = relay()) {
