Ask the relay, then the store, while the controller is silent

Change: source_to_ask() decides whom an instance asks, without network; silence of the controller is not agreement.

--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/peers.h"
 #include "gateway/store_follower.h"
 #include "logging/log.h"
+#include "membership/knowledge_check.h"
 #include "platform/messages.h"
 #include "platform/settings.h"
 #include "platform/store.h"
@@ -38,8 +39,8 @@
 constexpr auto entry_pause = duration{std::chrono::milliseconds{200}};
 /// Between two looks at whether others know the same.
 constexpr auto compare_interval = duration{std::chrono::milliseconds{100}};
-/// What the controller said is news for so long: somewhat more than two of its answers.
-constexpr auto confirmation_life = duration{std::chrono::milliseconds{1000}};
+/// What the controller said is news for so long: two of its answers.
+constexpr auto confirmation_life = duration{std::chrono::milliseconds{850}};
 /// News reaches instances at different moments; a difference that lasts longer is a watch that hangs.
 constexpr auto disagreement_patience = duration{std::chrono::milliseconds{300}};
 /// Between two lists while nobody confirms what is known; changes must take effect within two seconds.
@@ -84,6 +85,8 @@
     auto add_follower(follower_options options, follower_events events) -> void;
     auto digests() const -> std::map<std::string, std::uint64_t>;
     auto start_following() -> asio::awaitable<void>;
+    auto check_knowledge(const store_follower& kind, instant now) const -> knowledge_source;
+    auto learn_again(store_follower& kind, knowledge_source source) -> asio::awaitable<bool>;
     auto compare_knowledge() -> asio::awaitable<void>;
     auto follow_all() -> void;
     auto keep_house() -> asio::awaitable<void>;
@@ -205,40 +208,54 @@
     return known;
 }
 
-/// Lists a kind anew when this instance knows other versions than the controller, or when nobody confirms
-/// what it knows: watches tell nothing while the store withholds changes from them.
+auto gateway::check_knowledge(const store_follower& kind, instant now) const -> knowledge_source {
+    const auto& confirmed = m_control.confirmed();
+    const auto found = confirmed.digests.find(kind.kind());
+    return source_to_ask({.controls = m_control.controls(),
+                          .controller_heard = now - confirmed.at < confirmation_life,
+                          .agrees = found != confirmed.digests.end() && found->second == kind.digest(),
+                          .learning = now - kind.last_change() < disagreement_patience,
+                          .follows_relay = !kind.is_direct()});
+}
+
+/// Learns a kind anew from @a source, or from the store when that one does not answer. False when nobody did.
+auto gateway::learn_again(store_follower& kind, knowledge_source source) -> asio::awaitable<bool> {
+    auto asked = std::optional<endpoint>{};
+    if (kind.listed() && source == knowledge_source::controller) {
+        asked = m_control.holder_address();
+    } else if (kind.listed() && source == knowledge_source::relay) {
+        asked = kind.relay_address();
+    }
+    auto learnt = false;
+    if (asked) {
+        learnt = co_await kind.compare_with(*asked);
+    }
+    if (!learnt) {
+        learnt = co_await kind.refresh();
+    }
+    log::debug("knowledge_refreshed",
+               {{"kind", kind.kind()}, {"asked_peer", asked.has_value()}, {"learnt", learnt}});
+    co_return learnt;
+}
+
+/// Asks anew for a kind when nobody confirms what this instance knows, or the controller knows other
+/// versions.
 auto gateway::compare_knowledge() -> asio::awaitable<void> {
     auto next_refresh = std::map<std::string, instant>{};
     while (true) {
         co_await pause_for(compare_interval);
-        const auto now = monotonic_now();
-        const auto& confirmed = m_control.confirmed();
         for (const auto& each : m_followed) {
-            const auto found = confirmed.digests.find(each->kind());
-            const auto heard = !m_control.controls() && now - confirmed.at < confirmation_life;
-            const auto agrees = found != confirmed.digests.end() && found->second == each->digest();
-            // One that follows a relay relies on it, unless the controller knows otherwise.
-            const auto learning = now - each->last_change() < disagreement_patience;
-            if ((heard && (agrees || learning)) || (!heard && !m_control.controls() && !each->is_direct())) {
-                next_refresh[each->kind()] = now + disagreement_patience;
+            const auto now = monotonic_now();
+            const auto source = check_knowledge(*each, now);
+            auto& next = next_refresh[each->kind()];
+            if (source == knowledge_source::nobody) {
+                next = now + disagreement_patience;
             }
-            if (now >= next_refresh[each->kind()]) {
-                next_refresh[each->kind()] = now + refresh_interval;
-                const auto controller = heard && each->listed() ? m_control.holder_address() : std::nullopt;
-                auto learnt = false;
-                if (controller) {
-                    learnt = co_await each->compare_with(*controller);
-                }
-                if (!learnt) {
-                    learnt = co_await each->refresh();
-                }
-                if (!learnt) {
-                    next_refresh[each->kind()] = monotonic_now() + compare_interval;
-                }
-                log::debug("knowledge_refreshed", {{"kind", each->kind()},
-                                                   {"asked_controller", controller.has_value()},
-                                                   {"learnt", learnt}});
+            if (now < next) {
+                continue;
             }
+            const auto learnt = co_await learn_again(*each, source);
+            next = learnt ? now + refresh_interval : monotonic_now() + compare_interval;
         }
     }
 }
--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -20,6 +20,8 @@
 /// How long a relay keeps a follower waiting for news, and what the way there and back may take beside.
 constexpr auto relay_wait = duration{std::chrono::milliseconds{4000}};
 constexpr auto relay_slack = duration{std::chrono::milliseconds{800}};
+/// A comparison is answered from memory; the rest of a change's time is for asking the store after it.
+constexpr auto compare_timeout = duration{std::chrono::milliseconds{400}};
 /// A relay that did not answer is left alone for so long.
 constexpr auto relay_avoidance = duration{std::chrono::milliseconds{3000}};
 /// Removals kept for followers; one that is further behind gets the whole list.
@@ -206,6 +208,11 @@
     return std::nullopt;
 }
 
+auto store_follower::relay_address() const -> std::optional<endpoint> {
+    const auto found = relay();
+    return found ? std::optional{found->internal} : std::nullopt;
+}
+
 auto store_follower::follow_relay(instance_record relay_now) -> boost::asio::awaitable<void> {
     auto epoch = std::uint64_t{0};
     auto number = std::uint64_t{0};
@@ -365,7 +372,7 @@
     request.body() = json{{"kind", m_options.kind}, {"versions", versions}}.dump();
     request.prepare_payload();
     const auto answer =
-        co_await whole_exchange(m_pool, std::move(peer), std::move(request), relay_slack, largest_relayed);
+        co_await whole_exchange(m_pool, std::move(peer), std::move(request), compare_timeout, largest_relayed);
     const auto document = answer ? json::parse(answer->body(), nullptr, false) : json{};
     if (!document.is_object() || !document.contains("present")) {
         co_return false;
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -65,6 +65,8 @@
     auto last_change() const -> instant { return m_last_change; }
     /// Whether this instance follows the store itself.
     auto is_direct() const -> bool { return m_direct; }
+    /// Where the relay that this instance should follow can be reached; nothing when it is its own.
+    auto relay_address() const -> std::optional<endpoint>;
 
 private:
     /// An object with the number of its latest change here. A removed one is kept for a while, so that
