A fault soak of real processes on loopback addresses

Store, targets, proxies and callers in one process; instances as processes of their own, killed, stopped, frozen and cut from the store or from targets, in series that overlap. It checks: one owner, at most once, true refusals, whole and own answers, leaving targets, planned stops, recovery. Not shown alive by mutations yet.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,3 +9,4 @@
 scripts/check_words.sh
 scripts/lint.sh
 scripts/run_tests.sh
+scripts/soak.sh --seconds 6 1 2 2
--- /dev/null
+++ b/tests/soak/proxy.h
@@ -0,0 +1,45 @@
+#pragma once
+
+// A loopback proxy for connections that are delayed, silenced, cut one way or reset.
+
+#include "http/connection_pool.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <set>
+
+namespace teaselcross::soak {
+
+enum class link_mode {
+    open,
+    silent,  ///< Nothing passes, and nothing is closed.
+    one_way, ///< Requests pass, answers do not.
+    reset,   ///< Connections are reset, new ones too.
+};
+
+/// Forwards the connections that it accepts to one address. Belongs to the event loop's thread.
+class proxy {
+public:
+    proxy(boost::asio::io_context& context, endpoint from, endpoint to);
+
+    auto start() -> void;
+    /// Applies to connections that exist, too.
+    auto set(link_mode mode, duration delay = {}) -> void;
+
+private:
+    struct session;
+
+    auto accept() -> boost::asio::awaitable<void>;
+    auto pump(std::shared_ptr<session> through, bool to_target) -> boost::asio::awaitable<void>;
+
+    boost::asio::io_context& m_context;
+    endpoint m_to;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<std::shared_ptr<session>> m_sessions;
+    link_mode m_mode = link_mode::open;
+    duration m_delay{};
+};
+
+} // namespace teaselcross::soak
--- /dev/null
+++ b/tests/soak/targets.cpp
@@ -0,0 +1,259 @@
+#include "targets.h"
+
+#include "platform/names.h"
+#include "platform/store.h"
+#include "runtime/clock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace teaselcross::soak {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace names = platform::names;
+using json = nlohmann::json;
+
+namespace {
+
+/// A target's clock may run slow, so a grant holds for longer than it says.
+constexpr auto slow_clock = 1.02;
+/// News of a leaving target reach instances within the bound; what was sent before is on its way for a
+/// moment.
+constexpr auto drain_slack = duration{std::chrono::milliseconds{300}};
+constexpr auto work_poll = duration{std::chrono::milliseconds{2}};
+
+auto pause(asio::io_context& context, duration period) -> asio::awaitable<void> {
+    auto timer = asio::steady_timer{context, period};
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+auto key_of(const http_request& request) -> std::optional<shard_key> {
+    const auto text = request[names::shard_key];
+    auto key = shard_key{0};
+    const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), key);
+    return error == std::errc{} && !text.empty() ? std::optional{key} : std::nullopt;
+}
+
+} // namespace
+
+target::target(target_group& group, target_options options) : m_group{group}, m_options{std::move(options)} {}
+
+auto target::start() -> void {
+    ++m_life;
+    m_birth = static_cast<std::uint64_t>(wall_now().count());
+    m_sequence = 0;
+    m_grants.clear();
+    m_keys_at_work.clear();
+    m_running = m_waiting = 0;
+    m_leaving_since.reset();
+    m_up = true;
+    if (m_server) {
+        m_past_servers.push_back(std::move(m_server)); // Its last handlers may still run.
+    }
+    m_server = std::make_unique<http_server>(
+        m_group.context().get_executor(),
+        server_options{.host = m_options.own.host, .port = m_options.own.port, .marks_outcome = false},
+        [this](server_connection& from, http_request request) { return handle(from, std::move(request)); });
+    m_server->start();
+    announce();
+}
+
+auto target::crash() -> void {
+    m_up = false;
+    m_grants.clear();
+    m_server->abort();
+}
+
+auto target::drain() -> void {
+    m_leaving_since = monotonic_now();
+    announce();
+}
+
+auto target::announce() -> void {
+    m_group.registry().put(platform::kinds::targets, m_options.id,
+                           {{"service", m_options.service},
+                            {"address", m_options.listed.host + ":" + std::to_string(m_options.listed.port)},
+                            {"zone", m_options.data_centre},
+                            {"version", "v1"},
+                            {"slots", m_options.slots},
+                            {"state", m_leaving_since ? "draining" : "ready"},
+                            {"cold-remaining-s", 0},
+                            {"sequence", ++m_sequence},
+                            {"born", m_birth}});
+}
+
+auto target::holds(shard_key first, shard_key last, instant now) const -> bool {
+    return m_up && std::any_of(m_grants.begin(), m_grants.end(), [&](const auto& each) {
+               return now < each.until && each.first <= last && first <= each.last;
+           });
+}
+
+auto target::add_load(http_response& answer) -> void {
+    answer.set(names::load, std::to_string(m_running) + "," + std::to_string(m_waiting) + "," +
+                                std::to_string(m_options.slots) + "," +
+                                std::to_string(static_cast<int>(m_slowness * 100)));
+}
+
+auto target::refusal(const http_request& request, http::status status) -> http_response {
+    auto answer = http_response{status, 11};
+    answer.set(names::attempt_id, request[names::attempt_id]);
+    answer.set(names::not_run, "1");
+    answer.set(names::answering_target, m_options.id);
+    add_load(answer);
+    answer.prepare_payload();
+    return answer;
+}
+
+auto target::handle(server_connection& from, http_request request) -> asio::awaitable<bool> {
+    if (!m_up) {
+        co_return false;
+    }
+    const auto expected = request[names::expected_target];
+    if (!expected.empty() && expected != m_options.id) {
+        co_return co_await write_answer(from, refusal(request, http::status::misdirected_request));
+    }
+    const auto path = std::string{request.target()};
+    if (path == names::grant_path) {
+        co_return co_await write_answer(from, take_grant(request));
+    }
+    if (path == names::release_path) {
+        auto answer = co_await release(request);
+        co_return co_await write_answer(from, std::move(answer));
+    }
+    co_return co_await work(from, request);
+}
+
+auto target::drop_overlap(shard_key first, shard_key last, std::uint64_t most_fence) -> void {
+    auto kept = std::vector<grant>{};
+    for (const auto& each : m_grants) {
+        if (each.fence > most_fence || each.last < first || last < each.first) {
+            kept.push_back(each);
+            continue;
+        }
+        if (each.first < first) {
+            kept.push_back(
+                {.first = each.first, .last = first - 1, .fence = each.fence, .until = each.until});
+        }
+        if (each.last > last) {
+            kept.push_back({.first = last + 1, .last = each.last, .fence = each.fence, .until = each.until});
+        }
+    }
+    m_grants = std::move(kept);
+}
+
+auto target::take_grant(const http_request& request) -> http_response {
+    const auto body = json::parse(request.body(), nullptr, false);
+    const auto first = body.at("from").get<shard_key>();
+    const auto last = body.at("to").get<shard_key>();
+    const auto fence = body.at("fence").get<std::uint64_t>();
+    const auto now = monotonic_now();
+    const auto newer = std::any_of(m_grants.begin(), m_grants.end(), [&](const auto& each) {
+        return each.fence > fence && each.first <= last && first <= each.last;
+    });
+    if (newer) {
+        return json_answer(request, http::status::conflict, "{}");
+    }
+    if (now >= m_group.seen().late_orders_until && m_group.held_elsewhere(*this, first, last, now)) {
+        report_broken(m_group.seen(), "one owner",
+                      m_options.id + " was granted " + std::to_string(first) + "-" + std::to_string(last) +
+                          " that another target holds, fence " + std::to_string(fence));
+    }
+    drop_overlap(first, last, fence);
+    const auto hold = std::chrono::duration<double>(body.at("hold-s").get<double>() * slow_clock);
+    m_grants.push_back({.first = first,
+                        .last = last,
+                        .fence = fence,
+                        .until = now + std::chrono::duration_cast<duration>(hold)});
+    return json_answer(request, http::status::ok, "{}");
+}
+
+auto target::release(const http_request& request) -> asio::awaitable<http_response> {
+    const auto body = json::parse(request.body(), nullptr, false);
+    const auto first = body.at("from").get<shard_key>();
+    const auto last = body.at("to").get<shard_key>();
+    drop_overlap(first, last, body.at("fence").get<std::uint64_t>());
+    const auto life = m_life;
+    const auto busy = [&] {
+        const auto at_work = m_keys_at_work.lower_bound(first);
+        return m_life == life && at_work != m_keys_at_work.end() && at_work->first <= last;
+    };
+    while (busy()) {
+        co_await pause(m_group.context(), work_poll);
+    }
+    auto answer = json_answer(request, http::status::ok, "{}");
+    answer.set(names::handover, m_options.id + "-" + std::to_string(m_group.random()()));
+    co_return answer;
+}
+
+auto target::work(server_connection& from, const http_request& request) -> asio::awaitable<bool> {
+    auto& seen = m_group.seen();
+    const auto id = std::string{request[names::attempt_id]};
+    const auto key = m_options.keyed ? key_of(request) : std::nullopt;
+    const auto life = m_life;
+    const auto now = monotonic_now();
+    if (m_leaving_since && now > *m_leaving_since + m_group.drain() + drain_slack) {
+        report_broken(seen, "leaving targets get nothing new", m_options.id + " got " + id);
+    }
+    if (m_running + m_waiting >= m_options.slots + m_options.queue) {
+        co_return co_await write_answer(from, refusal(request, http::status::service_unavailable));
+    }
+    ++m_waiting;
+    while (m_running >= m_options.slots && m_life == life && m_up) {
+        co_await pause(m_group.context(), work_poll);
+    }
+    if (m_life != life || !m_up) {
+        co_return false;
+    }
+    --m_waiting;
+    if (m_options.keyed && (!key || !holds(*key, *key, monotonic_now()))) {
+        co_return co_await write_answer(from, refusal(request, http::status::misdirected_request));
+    }
+    ++m_running;
+    const auto runs = ++seen.runs[id];
+    if (request.method() == http::verb::post && runs > 1) {
+        report_broken(seen, "at most once", id + " runs again at " + m_options.id);
+    }
+    if (seen.said_not_run.contains(id)) {
+        report_broken(seen, "not run is true", id + " runs at " + m_options.id + " after its refusal");
+    }
+    if (key) {
+        ++m_keys_at_work[*key];
+    }
+    const auto spread = std::gamma_distribution<double>{4.0, 0.25}(m_group.random());
+    const auto took = std::chrono::duration_cast<duration>(m_options.work * spread * m_slowness);
+    co_await pause(m_group.context(), took);
+    if (m_life != life || !m_up) {
+        co_return false;
+    }
+    --m_running;
+    if (key && --m_keys_at_work[*key] == 0) {
+        m_keys_at_work.erase(*key);
+    }
+    auto answer = http_response{http::status::ok, 11};
+    answer.set(names::attempt_id, id);
+    answer.set(names::signature, "soak-" + id);
+    add_load(answer);
+    answer.body() = "answer to " + id + "\n";
+    answer.prepare_payload();
+    co_return co_await write_answer(from, std::move(answer));
+}
+
+auto target_group::add(target_options options) -> target& {
+    m_targets.push_back(std::make_unique<target>(*this, std::move(options)));
+    return *m_targets.back();
+}
+
+auto target_group::held_elsewhere(const target& asking, shard_key first, shard_key last, instant now) const
+    -> bool {
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
+        return each.get() != &asking && each->options().service == asking.options().service &&
+               each->holds(first, last, now);
+    });
+}
+
+} // namespace teaselcross::soak
--- /dev/null
+++ b/tests/soak/targets.h
@@ -0,0 +1,109 @@
+#pragma once
+
+// Stand-ins for targets: they hold keys by fenced grants, run requests, and notice broken promises.
+
+#include "http/server.h"
+#include "journal.h"
+#include "keyspace/key_map.h"
+#include "store.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace teaselcross::soak {
+
+struct target_options {
+    std::string id;
+    std::string service;
+    std::string data_centre;
+    endpoint own;    ///< Where it listens.
+    endpoint listed; ///< Where instances reach it, through a proxy.
+    bool keyed = false;
+    std::uint32_t slots = 4;
+    std::uint32_t queue = 16;
+    duration work = std::chrono::milliseconds{15};
+};
+
+class target_group;
+
+class target {
+public:
+    target(target_group& group, target_options options);
+
+    /// Starts, or starts again knowing nothing.
+    auto start() -> void;
+    /// Its process ends at once; its entry lapses later.
+    auto crash() -> void;
+    /// Announces that it leaves; the caller ends it with crash() when its time is over.
+    auto drain() -> void;
+    auto set_slowness(double factor) -> void { m_slowness = factor; }
+
+    auto options() const -> const target_options& { return m_options; }
+    auto up() const -> bool { return m_up; }
+    auto holds(shard_key first, shard_key last, instant now) const -> bool;
+    /// Writes its entry, as its heartbeat does.
+    auto announce() -> void;
+
+private:
+    struct grant {
+        shard_key first = 0;
+        shard_key last = 0;
+        std::uint64_t fence = 0;
+        instant until{};
+    };
+
+    auto handle(server_connection& from, http_request request) -> boost::asio::awaitable<bool>;
+    auto take_grant(const http_request& request) -> http_response;
+    auto release(const http_request& request) -> boost::asio::awaitable<http_response>;
+    auto work(server_connection& from, const http_request& request) -> boost::asio::awaitable<bool>;
+    auto refusal(const http_request& request, boost::beast::http::status status) -> http_response;
+    auto add_load(http_response& answer) -> void;
+    auto drop_overlap(shard_key first, shard_key last, std::uint64_t most_fence) -> void;
+
+    target_group& m_group;
+    target_options m_options;
+    std::unique_ptr<http_server> m_server;
+    std::vector<std::unique_ptr<http_server>> m_past_servers;
+    std::vector<grant> m_grants;
+    std::map<shard_key, std::uint32_t> m_keys_at_work;
+    std::uint64_t m_birth = 0;
+    std::uint64_t m_life = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_waiting = 0;
+    double m_slowness = 1;
+    std::optional<instant> m_leaving_since;
+    bool m_up = false;
+};
+
+/// All targets of a soak, which look out for one another's keys.
+class target_group {
+public:
+    target_group(boost::asio::io_context& context, store& registry, journal& seen, duration drain,
+                 std::uint64_t seed)
+        : m_context{context}, m_registry{registry}, m_seen{seen}, m_drain{drain}, m_random{seed} {}
+
+    auto add(target_options options) -> target&;
+    auto all() -> std::vector<std::unique_ptr<target>>& { return m_targets; }
+    /// Whether another living target of the service holds some of these keys.
+    auto held_elsewhere(const target& asking, shard_key first, shard_key last, instant now) const -> bool;
+
+    auto context() -> boost::asio::io_context& { return m_context; }
+    auto registry() -> store& { return m_registry; }
+    auto seen() -> journal& { return m_seen; }
+    auto drain() const -> duration { return m_drain; }
+    auto random() -> std::mt19937_64& { return m_random; }
+
+private:
+    boost::asio::io_context& m_context;
+    store& m_registry;
+    journal& m_seen;
+    duration m_drain;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<target>> m_targets;
+};
+
+} // namespace teaselcross::soak
