Name the key and its owner in refusals; leave out of a story what does not concern it

Change: refused lines have key, owner and revision of the key map; explain keeps moves of that key and what was believed since the process started. Test first: leaves_out_moves_of_other_keys_and_what_an_earlier_process_believed.

--- a/src/teaselcross/explain/request_story.cpp
+++ b/src/teaselcross/explain/request_story.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <optional>
 #include <set>
 
 namespace teaselcross {
@@ -77,6 +78,7 @@
     std::set<std::string> instances;
     std::set<std::string> targets;
     std::set<std::string> services;
+    std::optional<std::int64_t> key; ///< Moves of other keys don't concern it.
 };
 
 auto collect_involved(const std::vector<story_line>& own) -> involved {
@@ -85,20 +87,39 @@
         found.instances.insert(each.line.instance);
         found.targets.insert(field_of(each.line, "target"));
         found.services.insert(field_of(each.line, "service"));
+        found.targets.insert(field_of(each.line, "owner"));
+        const auto key = field_of(each.line, "key");
+        if (!key.empty() && key != "none") {
+            found.key = to_number(key);
+        }
     }
     found.targets.erase(std::string{});
     found.services.erase(std::string{});
     return found;
 }
 
+/// When the process that wrote @a last started; what was believed before it is forgotten.
+auto start_of(const std::vector<log_line>& lines, const log_line& last) -> std::int64_t {
+    auto started = std::int64_t{0};
+    for (const auto& line : lines) {
+        const auto earlier = line.steady_us <= last.steady_us && line.wall_ms <= last.wall_ms;
+        if (line.instance == last.instance && line.event == "started" && earlier) {
+            started = std::max(started, line.steady_us);
+        }
+    }
+    return started;
+}
+
 auto add_beliefs(const std::vector<log_line>& lines, const log_line& last, std::vector<story_line>& story)
     -> void {
+    const auto started = start_of(lines, last);
     for (const auto& topic : belief_topics) {
         const log_line* latest = nullptr;
         for (const auto& line : lines) {
             const auto concerns = line.instance == last.instance && is_among(topic.events, line.event);
             const auto earlier = line.steady_us <= last.steady_us && line.wall_ms <= last.wall_ms;
-            if (concerns && earlier && (latest == nullptr || line.steady_us >= latest->steady_us)) {
+            if (concerns && earlier && line.steady_us >= started &&
+                (latest == nullptr || line.steady_us >= latest->steady_us)) {
                 latest = &line;
             }
         }
@@ -108,15 +129,25 @@
     }
 }
 
+/// Whether the keys that @a line names include the request's, as far as either is known.
+auto concerns_key(const log_line& line, const involved& with) -> bool {
+    const auto first = field_of(line, "first");
+    const auto last = field_of(line, "last");
+    return !with.key || first.empty() || (to_number(first) <= *with.key && *with.key <= to_number(last));
+}
+
 auto is_cause(const log_line& line, const involved& with) -> bool {
     if (is_among(control_events, line.event)) {
         return !with.services.empty() && !with.instances.contains(line.instance);
     }
-    if (line.event.starts_with("target_") || line.event == "key_order") {
+    if (line.event.starts_with("target_")) {
         return with.targets.contains(field_of(line, "target"));
     }
+    if (line.event == "key_order") {
+        return with.targets.contains(field_of(line, "target")) && concerns_key(line, with);
+    }
     if (line.event == "range_moves" || line.event == "keys_assigned") {
-        return with.services.contains(field_of(line, "service"));
+        return with.services.contains(field_of(line, "service")) && concerns_key(line, with);
     }
     return line.event.starts_with("data_centre_") && with.instances.contains(line.instance);
 }
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -235,6 +235,9 @@
                              {"sends", current.sends},
                              {"returning", current.returning},
                              {"target", current.last_target},
+                             {"key", current.said.key ? std::to_string(*current.said.key) : "none"},
+                             {"owner", current.owner},
+                             {"keys_revision", current.keys_revision},
                              {"retry_after_ms", retry_after.value_or(duration::zero()).count() / 1000},
                              {"ms", (now - current.arrived).count() / 1000}});
     auto answer = platform::make_refusal(status, current.said.id, retry_after);
--- a/src/teaselcross/gateway/request_flow.h
+++ b/src/teaselcross/gateway/request_flow.h
@@ -46,7 +46,9 @@
     target_id last_target;
     std::optional<std::uint64_t> stale_revision; ///< Of the key map that led to a target without the key.
     bool without_body = false;
-    bool returning = false; ///< The caller was refused before.
+    target_id owner;                 ///< Of its key, as last known.
+    std::uint64_t keys_revision = 0; ///< Of the key map that said so.
+    bool returning = false;          ///< The caller was refused before.
 };
 
 } // namespace teaselcross
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -172,6 +172,8 @@
     if (range == nullptr) {
         return {.reason = refusal::no_owner, .retry_after = owner_lost_retry};
     }
+    current.owner = range->holder.id;
+    current.keys_revision = map->revision;
     auto owner = m_known.target(range->holder.id);
     if (current.stale_revision == map->revision) {
         return {.reason = refusal::no_owner, .worth_waiting = true, .retry_after = owner_wait};
--- a/tests/explain/request_story_test.cpp
+++ b/tests/explain/request_story_test.cpp
@@ -46,6 +46,19 @@
     EXPECT_EQ(story[2].line.fields.at("target"), "i-7") << "other targets are left out";
 }
 
+TEST(request_story, leaves_out_moves_of_other_keys_and_what_an_earlier_process_believed) {
+    const auto story = tell_story(lines_of(R"(
+ms=1000 up_us=1000 level=INFO instance=a event=config_in_force version=4 before=3
+ms=2000 up_us=2000 level=INFO instance=a event=started data_centre=x host=10.1.0.1
+ms=2100 up_us=2100 level=INFO instance=b event=range_moves service=s1 first=0 last=9 to=i-8
+ms=2200 up_us=2200 level=INFO instance=b event=range_moves service=s1 first=10 last=19 to=i-9
+ms=2300 up_us=2300 level=WARN instance=a event=refused id=aa11 reason=no_owner service=s1 target="" key=12 owner=i-7
+)"),
+                                  "aa11");
+    EXPECT_EQ(events_of(story), (std::vector<std::string>{"started", "range_moves", "refused"}));
+    EXPECT_EQ(story[1].line.fields.at("first"), "10");
+}
+
 TEST(request_story, does_not_depend_on_the_order_of_the_files) {
     const auto one = tell_story(lines_of(std::string{taker} + controller), "aa11");
     const auto other = tell_story(lines_of(std::string{controller} + taker), "aa11");
