--- /dev/null
+++ b/tests/soak/faults.cpp
@@ -0,0 +1,190 @@
+// The faults of a soak, each from its begin to its end.
+
+#include "platform/store.h"
+#include "runtime/clock.h"
+#include "soak.h"
+
+#include <sys/wait.h>
+
+#include <csignal>
+
+namespace teaselcross::soak {
+
+namespace asio = boost::asio;
+using json = nlohmann::json;
+
+namespace {
+
+constexpr auto grace = duration{std::chrono::seconds{6}};
+constexpr auto thaw_allowance = duration{std::chrono::milliseconds{300}};
+
+} // namespace
+
+auto soak::kill_instance() -> asio::awaitable<void> {
+    auto& chosen = m_processes[m_random() % m_processes.size()];
+    tell("kill " + chosen.name);
+    end(chosen);
+    co_await pause(seconds(0.2, 3));
+    if (chosen.pid == 0) {
+        launch(chosen);
+    }
+}
+
+auto soak::stop_instance() -> asio::awaitable<void> {
+    const auto index = m_random() % m_processes.size();
+    auto& chosen = m_processes[index];
+    if (chosen.pid == 0 || m_fronts[index].stopping_since) {
+        co_return;
+    }
+    const auto pid = chosen.pid;
+    tell("stop " + chosen.name);
+    ::kill(pid, SIGTERM);
+    const auto until = monotonic_now() + grace;
+    while (monotonic_now() < until && chosen.pid == pid) {
+        // Only while nothing else goes on is a cut answer the stop's own doing.
+        m_fronts[index].stopping_since = m_faults_now == 1 ? std::optional{monotonic_now()} : std::nullopt;
+        if (::waitpid(pid, nullptr, WNOHANG) == pid) {
+            chosen.pid = 0;
+        }
+        co_await pause(std::chrono::milliseconds{20});
+    }
+    m_fronts[index].stopping_since.reset();
+    if (chosen.pid == pid) {
+        report_broken(m_seen, "a planned stop ends in time", chosen.name);
+        end(chosen);
+    }
+    if (chosen.pid == 0) {
+        launch(chosen);
+    }
+}
+
+auto soak::freeze_instance() -> asio::awaitable<void> {
+    auto& chosen = m_processes[m_random() % m_processes.size()];
+    const auto pid = chosen.pid;
+    if (pid == 0) {
+        co_return;
+    }
+    const auto length = seconds(0.3, 6);
+    tell("freeze " + chosen.name + " for " + std::to_string(length.count() / 1000) + " ms");
+    ::kill(pid, SIGSTOP);
+    co_await pause(length);
+    if (chosen.pid == pid) {
+        ::kill(pid, SIGCONT);
+        m_seen.late_orders_until = monotonic_now() + thaw_allowance;
+    }
+}
+
+auto soak::break_store() -> asio::awaitable<void> {
+    auto& faults = m_store.faults();
+    const auto kind = m_random() % 5;
+    tell("store trouble of kind " + std::to_string(kind));
+    if (kind == 0) {
+        faults.mode = store_mode::refusing;
+    } else if (kind == 1) {
+        faults.mode = store_mode::silent;
+    } else if (kind == 2) {
+        faults.delay = std::chrono::milliseconds{200};
+    } else if (kind == 3) {
+        faults.lost_answers = 0.4;
+    } else {
+        m_store.compact();
+    }
+    co_await pause(seconds(0.5, 5));
+    faults = {};
+}
+
+auto soak::break_store_link() -> asio::awaitable<void> {
+    auto& chosen = m_processes[m_random() % m_processes.size()];
+    const auto mode = static_cast<link_mode>(1 + m_random() % 3);
+    tell("link of " + chosen.name + " to the store, mode " + std::to_string(static_cast<int>(mode)));
+    chosen.store_link->set(mode);
+    co_await pause(seconds(0.5, 6));
+    chosen.store_link->set(link_mode::open);
+    m_seen.late_orders_until = monotonic_now() + thaw_allowance;
+}
+
+auto soak::break_target_link() -> asio::awaitable<void> {
+    const auto index = m_random() % m_target_links.size();
+    const auto mode = static_cast<link_mode>(m_random() % 4); // An open one is delayed.
+    tell("link to i-" + std::to_string(index) + ", mode " + std::to_string(static_cast<int>(mode)));
+    m_target_links[index]->set(mode, mode == link_mode::open ? std::chrono::milliseconds{60} : duration{});
+    co_await pause(seconds(0.5, 6));
+    m_target_links[index]->set(link_mode::open);
+    m_seen.late_orders_until = monotonic_now() + thaw_allowance;
+}
+
+auto soak::crash_target() -> asio::awaitable<void> {
+    auto& chosen = *m_targets.all()[m_random() % m_targets.all().size()];
+    if (!chosen.up()) {
+        co_return;
+    }
+    tell("crash " + chosen.options().id);
+    chosen.crash();
+    co_await pause(seconds(0.3, 5));
+    chosen.start();
+}
+
+auto soak::drain_target() -> asio::awaitable<void> {
+    auto& chosen = *m_targets.all()[m_random() % m_targets.all().size()];
+    if (!chosen.up() || m_store.faults().mode != store_mode::up) {
+        co_return;
+    }
+    tell("drain " + chosen.options().id);
+    chosen.drain();
+    co_await pause(drain_bound + seconds(1, 2));
+    if (chosen.up()) {
+        chosen.crash();
+    }
+    co_await pause(seconds(0.5, 2));
+    if (!chosen.up()) {
+        chosen.start();
+    }
+}
+
+auto soak::take_out() -> asio::awaitable<void> {
+    const auto* name = data_centres[m_random() % data_centres.size()];
+    tell(std::string{"take out "} + name);
+    m_store.put(platform::kinds::taken_out, name, json::object());
+    co_await pause(seconds(2, 6));
+    m_store.remove(platform::kinds::taken_out, name);
+}
+
+auto soak::one_fault(int kind) -> asio::awaitable<void> {
+    ++m_faults_now;
+    switch (kind) {
+    case 0:
+        co_await kill_instance();
+        break;
+    case 1:
+        co_await stop_instance();
+        break;
+    case 2:
+        co_await freeze_instance();
+        break;
+    case 3:
+        co_await break_store();
+        break;
+    case 4:
+        co_await break_store_link();
+        break;
+    case 5:
+        co_await break_target_link();
+        break;
+    case 6:
+        co_await crash_target();
+        break;
+    case 7:
+        co_await drain_target();
+        break;
+    case 8:
+        co_await take_out();
+        break;
+    default:
+        write_config();
+        break;
+    }
+    --m_faults_now;
+    tell("over: fault of kind " + std::to_string(kind));
+}
+
+} // namespace teaselcross::soak
