--- a/src/teaselcross/gateway/knowledge.cpp
+++ b/src/teaselcross/gateway/knowledge.cpp
@@ -70,8 +70,9 @@
     known->revision = revision;
     known->missing_until.reset();
     if (listed.leaving && !known->leaving_since) {
-        log::info("target_leaving", {{"target", listed.id}, {"service", listed.service}});
-        known->leaving_since = now;
+        log::info("target_leaving", {{"target", listed.id}, {"service", listed.service}, {"fresh", fresh}});
+        // One that is already leaving when it is first seen may have said so long ago: its time is over.
+        known->leaving_since = fresh ? now - m_options.drain : now;
     } else if (!listed.leaving) {
         known->leaving_since.reset();
     }
