--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -268,6 +268,12 @@
         launch(each);
     }
     write_config();
+    m_signals.async_wait([this](const boost::system::error_code& error, int) {
+        if (!error) { // The processes that were started end with the soak.
+            report_broken(m_seen, "a seed is played to its end", "a signal came");
+            m_context.stop();
+        }
+    });
     m_callers->start();
     spawn(m_context, heartbeats());
     spawn(m_context, play());
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -8,9 +8,12 @@
 #include "store.h"
 #include "targets.h"
 
+#include <boost/asio/signal_set.hpp>
+
 #include <sys/types.h>
 
 #include <array>
+#include <csignal>
 #include <memory>
 #include <random>
 #include <string>
@@ -75,6 +78,7 @@
 
     soak_options m_options;
     boost::asio::io_context m_context{1};
+    boost::asio::signal_set m_signals{m_context, SIGINT, SIGTERM};
     std::mt19937_64 m_random;
     journal m_seen;
     store m_store;
