--- a/tests/soak/journal.h
+++ b/tests/soak/journal.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace teaselcross::soak {
 
@@ -17,9 +18,17 @@
     std::map<std::string, std::uint64_t> counts; ///< Answers and refusals by name.
     std::map<std::string, std::uint32_t> runs;   ///< Of each request at targets, by its id.
     std::set<std::string> said_not_run;          ///< Requests whose caller was told so.
+    std::map<std::string, std::size_t> taken_by; ///< The instance that each request was sent to.
+    std::vector<instant> in_touch_from;          ///< By instance; the latest instant while it is disturbed.
     instant late_orders_until{};                 ///< Orders that a thawed instance sends late don't count.
 };
 
+/// Bounds in time hold for instances that have been undisturbed for so long, by the platform's rules.
+constexpr auto stable_window = duration{std::chrono::seconds{3}};
+
+/// Whether the instance that took @a request is held to bounds in time at @a now.
+auto is_in_touch(const journal& seen, const std::string& request, instant now) -> bool;
+
 /// Prints what happened with the time since the soak's start.
 auto tell(const std::string& what) -> void;
 /// The same for a broken promise, which fails the soak.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -83,6 +83,8 @@
             {.address = address(front_port, index + 1), .readiness = address(ready_port, index + 1)});
         write_settings(index);
     }
+    m_seen.in_touch_from.resize(m_options.instances);
+    m_disturbances.resize(m_options.instances);
     m_callers = std::make_unique<callers>(m_context, m_fronts, m_seen, caller_options{}, m_options.seed);
 }
 
@@ -286,6 +288,11 @@
     return m_seen.broken == 0 ? 0 : 1;
 }
 
+auto is_in_touch(const journal& seen, const std::string& request, instant now) -> bool {
+    const auto taken = seen.taken_by.find(request);
+    return taken != seen.taken_by.end() && now >= seen.in_touch_from[taken->second];
+}
+
 auto tell(const std::string& what) -> void {
     const auto at = std::chrono::duration<double>(monotonic_now() - began()).count();
     std::printf("%8.3f %s\n", at, what.c_str());
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -65,6 +65,9 @@
     auto play() -> boost::asio::awaitable<void>;
     auto series(int kind) -> boost::asio::awaitable<void>;
     auto one_fault(int kind) -> boost::asio::awaitable<void>;
+    /// The instance is disturbed from now on, until settle() starts its time of rest.
+    auto disturb(std::size_t instance) -> void;
+    auto settle(std::size_t instance) -> void;
     auto kill_instance() -> boost::asio::awaitable<void>;
     auto stop_instance() -> boost::asio::awaitable<void>;
     auto freeze_instance() -> boost::asio::awaitable<void>;
@@ -88,6 +91,7 @@
     std::vector<front> m_fronts;
     std::unique_ptr<callers> m_callers;
     std::uint64_t m_version = 0;
+    std::vector<int> m_disturbances; ///< Faults that are on, by instance.
     int m_faults_now = 0;
     bool m_playing = true;
 };
