--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -8,7 +8,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
 #include <array>
+#include <cerrno>
 
 namespace teaselcross::soak {
 
@@ -30,6 +33,13 @@
     socket.close(ignored);
 }
 
+/// Whether the peer of @a socket has reset it; what it sent before is lost then.
+auto was_reset(tcp::socket& socket) -> bool {
+    auto byte = char{};
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+}
+
 } // namespace
 
 struct proxy::session {
@@ -90,6 +100,11 @@
         while (m_mode == link_mode::silent || (m_mode == link_mode::one_way && !to_target)) {
             timer.expires_after(blocked_poll);
             co_await timer.async_wait(as_result);
+            // Bytes that a partition holds up are lost when their sender resets the connection.
+            if (from.is_open() && was_reset(from)) {
+                reset(from);
+                reset(to);
+            }
         }
         if (error == asio::error::eof) {
             to.shutdown(tcp::socket::shutdown_send, ignored);
