--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -20,6 +20,17 @@
 
 } // namespace
 
+auto soak::disturb(std::size_t instance) -> void {
+    ++m_disturbances[instance];
+    m_seen.in_touch_from[instance] = instant::max();
+}
+
+auto soak::settle(std::size_t instance) -> void {
+    if (--m_disturbances[instance] == 0) {
+        m_seen.in_touch_from[instance] = monotonic_now() + stable_window;
+    }
+}
+
 auto soak::kill_instance() -> asio::awaitable<void> {
     const auto index = m_random() % m_processes.size();
     auto& chosen = m_processes[index];
