--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -149,7 +149,9 @@
     tell("crash " + chosen.options().id);
     chosen.crash();
     co_await pause(seconds(0.3, 5));
-    chosen.start();
+    if (!chosen.up()) { // Another fault may have started it meanwhile.
+        chosen.start();
+    }
 }
 
 auto soak::drain_target() -> asio::awaitable<void> {
@@ -179,6 +181,9 @@
 
 auto soak::one_fault(int kind) -> asio::awaitable<void> {
     ++m_faults_now;
+    for (auto& each : m_fronts) {
+        each.stopping_since.reset(); // From here on, an answer may be cut by this fault.
+    }
     switch (kind) {
     case 0:
         co_await kill_instance();
