--- a/src/teaselcross/gateway/cluster_state.cpp
+++ b/src/teaselcross/gateway/cluster_state.cpp
@@ -162,18 +162,22 @@
     return found == m_out_of_service.end() ? std::nullopt : std::optional{found->second};
 }
 
-auto cluster_state::take_out_of_service(const data_centre_id& data_centre, instant now) -> void {
+auto cluster_state::take_out_of_service(const data_centre_id& data_centre, std::uint64_t revision,
+                                        instant now) -> void {
     if (m_out_of_service.emplace(data_centre, now).second) {
-        log::info("data_centre_out", {{"data_centre", data_centre}});
+        log::info("data_centre_out", {{"data_centre", data_centre}, {"revision", revision}});
         notify_change();
     }
 }
 
 auto cluster_state::return_to_service(const data_centre_id& data_centre, instant now) -> void {
-    if (m_out_of_service.erase(data_centre) == 0) {
+    const auto found = m_out_of_service.find(data_centre);
+    if (found == m_out_of_service.end()) {
         return;
     }
-    log::info("data_centre_in", {{"data_centre", data_centre}});
+    log::info("data_centre_in",
+              {{"data_centre", data_centre}, {"out_ms", (now - found->second).count() / 1000}});
+    m_out_of_service.erase(found);
     for (const auto& [id, known] : m_targets) {
         if (known->view.listed.data_centre == data_centre) {
             // Its targets were idle and may have become cold without reporting it.
--- a/src/teaselcross/gateway/cluster_state.h
+++ b/src/teaselcross/gateway/cluster_state.h
@@ -63,7 +63,8 @@
 
     /// When the data centre was taken out of service; nothing while it is in service.
     auto out_of_service_since(const data_centre_id& data_centre) const -> std::optional<instant>;
-    auto take_out_of_service(const data_centre_id& data_centre, instant now) -> void;
+    /// @a revision is that of the entry in the store, for the log.
+    auto take_out_of_service(const data_centre_id& data_centre, std::uint64_t revision, instant now) -> void;
     auto return_to_service(const data_centre_id& data_centre, instant now) -> void;
     auto out_of_service() const -> const std::map<data_centre_id, instant>& { return m_out_of_service; }
 
--- a/src/teaselcross/gateway/cluster_state_feed.cpp
+++ b/src/teaselcross/gateway/cluster_state_feed.cpp
@@ -93,7 +93,7 @@
                     auto listed_names = std::vector<data_centre_id>{};
                     for (const auto& object : objects) {
                         listed_names.push_back(name_of(object));
-                        m_cluster.take_out_of_service(listed_names.back(), now);
+                        m_cluster.take_out_of_service(listed_names.back(), object.version, now);
                     }
                     auto returned = std::vector<data_centre_id>{};
                     for (const auto& [data_centre, since] : m_cluster.out_of_service()) {
@@ -111,7 +111,7 @@
                     if (object.removed) {
                         m_cluster.return_to_service(name_of(object), monotonic_now());
                     } else {
-                        m_cluster.take_out_of_service(name_of(object), monotonic_now());
+                        m_cluster.take_out_of_service(name_of(object), object.version, monotonic_now());
                     }
                 }};
 }
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -37,6 +37,14 @@
     auto& view = target->view;
     current.tried.push_back(view.listed.id);
     current.last_target = view.listed.id;
+    if (const auto out_since = m_cluster.out_of_service_since(view.listed.data_centre)) {
+        m_measured.count(counter::sends_to_data_centres_out);
+        log::info("sent_to_data_centre_out", {{"id", current.caller.attempt_id},
+                                              {"target", view.listed.id},
+                                              {"data_centre", view.listed.data_centre},
+                                              {"out_ms", (started - *out_since).count() / 1000},
+                                              {"owner_of_key", current.owner == view.listed.id}});
+    }
     on_sent(view);
     const auto end = co_await exchange(current, *target, request, started + limit);
     const auto now = monotonic_now();
--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -74,7 +74,25 @@
     co_return whole;
 }
 
-auto store_follower::record_change(const store_object& object) -> void {
+/// Logs that an object appeared or disappeared; a new version of a known object has no line.
+auto store_follower::log_change(const store_object& object, const change_origin& origin) const -> void {
+    const auto found = m_objects.find(object.key);
+    const auto is_live = found != m_objects.end() && !found->second.object.removed;
+    if (is_live != object.removed) {
+        return;
+    }
+    log::info(object.removed ? "object_removed" : "object_added",
+              {{"object", object.key},
+               {"version", object.version},
+               {"known_version", found == m_objects.end() ? 0 : found->second.object.version},
+               {"source", name_in(change_source_names, origin.source)},
+               {"from", origin.from},
+               {"source_revision", origin.revision},
+               {"own_revision", m_revision}});
+}
+
+auto store_follower::record_change(const store_object& object, const change_origin& origin) -> void {
+    log_change(object, origin);
     m_last_change = monotonic_now();
     auto& known = m_objects[object.key];
     if (known.change_number > 0 && !known.object.removed) {
@@ -119,7 +137,8 @@
     return object.version < known.version || same;
 }
 
-auto store_follower::apply_list(const std::vector<store_object>& objects) -> void {
+auto store_follower::apply_list(const std::vector<store_object>& objects, const change_origin& origin)
+    -> void {
     auto missing = std::map<std::string, std::uint64_t>{}; // Versions by key.
     for (const auto& [key, known] : m_objects) {
         if (!known.object.removed) {
@@ -131,25 +150,35 @@
         missing.erase(object.key);
         if (known == m_objects.end() || known->second.object.removed ||
             known->second.object.version != object.version) {
-            record_change(object);
+            record_change(object, origin);
         } else {
             // After a patch only the version is kept, not the value.
             known->second.object.value = object.value;
         }
     }
     for (const auto& [key, version] : missing) {
-        record_change({.key = key, .version = version, .removed = true});
+        record_change({.key = key, .version = version, .removed = true}, origin);
     }
     m_listed = true;
     m_events.listed(objects);
     m_signal.notify();
 }
 
-auto store_follower::apply_event(const store_object& object) -> void {
+auto store_follower::apply_event(const store_object& object, const change_origin& origin) -> void {
     if (is_known(object)) {
+        const auto& known = m_objects.at(object.key).object;
+        if (known.removed && !object.removed) {
+            log::info("object_refused", {{"object", object.key},
+                                         {"version", object.version},
+                                         {"removed_version", known.version},
+                                         {"source", name_in(change_source_names, origin.source)},
+                                         {"from", origin.from},
+                                         {"source_revision", origin.revision},
+                                         {"own_revision", m_revision}});
+        }
         return;
     }
-    record_change(object);
+    record_change(object, origin);
     m_events.changed(object);
 }
 
@@ -164,8 +193,13 @@
         co_return false;
     }
     if (list->version >= m_revision) { // A relayed answer may be older than the known state.
-        m_revision = list->version;
-        apply_list(list->objects);
+        const auto before = std::exchange(m_revision, list->version);
+        log::debug("list_applied",
+                   {{"kind", m_options.kind}, {"revision", list->version}, {"before", before}});
+        apply_list(list->objects, {.source = change_source::list, .revision = list->version});
+    } else {
+        log::info("list_too_old",
+                  {{"kind", m_options.kind}, {"revision", list->version}, {"own_revision", m_revision}});
     }
     co_return true;
 }
@@ -186,7 +220,7 @@
             continue;
         }
         for (const auto& object : reply.objects) {
-            apply_event(object);
+            apply_event(object, {.source = change_source::watch, .revision = reply.version});
         }
         m_revision = std::max(m_revision, reply.version);
         if (!reply.objects.empty()) {
@@ -243,7 +277,7 @@
         }
         epoch = document.at("epoch").get<std::uint64_t>();
         change_number = document.at("number").get<std::uint64_t>();
-        if (!apply_relayed(document)) {
+        if (!apply_relayed(document, {.source = change_source::relay, .from = followed.internal.host})) {
             epoch = 0; // A difference did not apply: request the complete list next.
         }
     }
@@ -251,10 +285,14 @@
 
 /// Applies the objects in an answer of a relay or peer. Returns false when a difference did not apply to the
 /// known version.
-auto store_follower::apply_relayed(const json& document) -> bool {
+auto store_follower::apply_relayed(const json& document, change_origin origin) -> bool {
     auto objects = std::vector<store_object>{};
     auto all_applied = true;
     const auto whole = document.at("whole").get<bool>();
+    origin.revision = document.at("at").get<std::uint64_t>();
+    if (whole) {
+        origin.source = change_source::relayed_list;
+    }
     for (const auto& entry : document.at("objects")) {
         auto object = store_object{.key = entry.at(0).get<std::string>(),
                                    .version = entry.at(1).get<std::uint64_t>(),
@@ -264,19 +302,19 @@
         if (whole) {
             objects.push_back(std::move(object));
         } else if (base == 0) {
-            apply_event(object);
+            apply_event(object, origin);
         } else if (!is_known(object)) {
             const auto applied = m_events.patched(object, base);
             all_applied = all_applied && applied;
             if (applied) {
                 object.value.clear();
-                record_change(object);
+                record_change(object, origin);
             }
         }
     }
-    m_revision = std::max(m_revision, document.at("at").get<std::uint64_t>());
+    m_revision = std::max(m_revision, origin.revision);
     if (whole) {
-        apply_list(objects);
+        apply_list(objects, origin);
     } else {
         m_signal.notify();
     }
@@ -381,6 +419,7 @@
     request.set(boost::beast::http::field::host, peer.host);
     request.body() = json{{"kind", m_options.kind}, {"versions", versions}}.dump();
     request.prepare_payload();
+    const auto peer_host = peer.host;
     const auto answer = co_await perform_exchange(m_pool, std::move(peer), std::move(request),
                                                   compare_timeout, max_relayed_bytes);
     const auto document = answer ? json::parse(answer->body(), nullptr, false) : json{};
@@ -395,13 +434,15 @@
         missing.erase(entry.at(0).get<std::string>());
     }
     const auto peer_revision = document.at("at").get<std::uint64_t>();
+    const auto origin =
+        change_origin{.source = change_source::comparison, .from = peer_host, .revision = peer_revision};
     for (const auto& [key, version] : missing.items()) {
         // A newer version is a change that the peer has not received yet.
         if (version.get<std::uint64_t>() <= peer_revision) {
-            apply_event({.key = key, .version = peer_revision, .removed = true});
+            apply_event({.key = key, .version = peer_revision, .removed = true}, origin);
         }
     }
-    static_cast<void>(apply_relayed(document));
+    static_cast<void>(apply_relayed(document, origin));
     co_return true;
 }
 
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -30,6 +30,18 @@
     std::function<bool(const store_object&, std::uint64_t base)> patched;
 };
 
+/// Where an instance learned of a change.
+enum class change_source { watch, list, relay, relayed_list, comparison };
+constexpr enum_table<change_source, 5> change_source_names{"watch", "list", "relay", "relayed_list",
+                                                           "comparison"};
+
+/// The answer that reported a change.
+struct change_origin {
+    change_source source = change_source::watch;
+    std::string from;           ///< Address of the instance that answered; empty for the store.
+    std::uint64_t revision = 0; ///< Store revision up to which the answering side knew all changes.
+};
+
 /// Returns the difference between two values of one object as text, or nothing when one of them cannot be
 /// parsed.
 using difference_function = auto(*)(const std::string& before, const std::string& after)
@@ -97,14 +109,15 @@
     };
 
     auto list_all() -> boost::asio::awaitable<std::optional<store_reply>>;
-    auto apply_list(const std::vector<store_object>& objects) -> void;
-    auto apply_event(const store_object& object) -> void;
-    auto record_change(const store_object& object) -> void;
+    auto apply_list(const std::vector<store_object>& objects, const change_origin& origin) -> void;
+    auto apply_event(const store_object& object, const change_origin& origin) -> void;
+    auto record_change(const store_object& object, const change_origin& origin) -> void;
+    auto log_change(const store_object& object, const change_origin& origin) const -> void;
     auto trim_removals() -> void;
     auto is_known(const store_object& object) const -> bool;
     auto make_entry(const tracked_object& tracked, std::uint64_t known) -> nlohmann::json;
     auto difference_since(const tracked_object& tracked, std::uint64_t known) -> const cached_difference*;
-    auto apply_relayed(const nlohmann::json& document) -> bool;
+    auto apply_relayed(const nlohmann::json& document, change_origin origin) -> bool;
     auto watch() -> boost::asio::awaitable<void>;
     auto follow_relay(instance_record followed) -> boost::asio::awaitable<void>;
     auto relay() const -> std::optional<instance_record>;
--- a/src/teaselcross/metrics/metrics.h
+++ b/src/teaselcross/metrics/metrics.h
@@ -35,8 +35,9 @@
     grants_made,
     grants_unanswered,
     ranges_moved,
+    sends_to_data_centres_out,
 };
-constexpr enum_table<counter, 21> counter_names{"requests_total",
+constexpr enum_table<counter, 22> counter_names{"requests_total",
                                                 "answered_total",
                                                 "refused_not_run_total",
                                                 "outcome_unknown_total",
@@ -56,7 +57,8 @@
                                                 "callers_left_total",
                                                 "grants_made_total",
                                                 "grants_unanswered_total",
-                                                "ranges_moved_total"};
+                                                "ranges_moved_total",
+                                                "sends_to_data_centres_out_total"};
 
 /// The operation whose latency is recorded.
 enum class timing { request, keeper_queue, target };
