Reproduce how an older list of a relay hides a live entry

Two tests of the follower of stored objects, against relays on loopback ports whose answers the test decides. Both fail on this code, every time:

- after a list of revision 196 with an entry, the list of a second relay of revision 180 takes the entry away, and the entry is refused when that relay offers it later with revision 199;
- the instance then tells peers that it knows everything up to 196 and lacks the entry, which makes them remove it.

--- /dev/null
+++ b/tests/gateway/store_follower_test.cpp
@@ -0,0 +1,126 @@
+// Tests the order in which a follower accepts answers of relays, peers and the store.
+
+#include "gateway/cluster_state_feed.h"
+#include "platform/store.h"
+#include "support/loopback_peer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace teaselcross {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr auto entry_revision = 196;
+constexpr auto kind = "evacuations";
+const auto data_centre = data_centre_id{"west"};
+
+/// A relay's answer with revision @a at: the complete list, or the changes since the last answer.
+auto relay_answer(int at, bool is_whole, const json& objects) -> std::string {
+    return json{{"epoch", 1}, {"number", at}, {"at", at}, {"whole", is_whole}, {"objects", objects}}.dump();
+}
+
+auto entry() -> json {
+    return {"evacuations/west", entry_revision, "{}", false, 0};
+}
+
+/// A follower of the data centres out of service, in an instance without a store.
+class relayed_follower : public testing::Test {
+protected:
+    relayed_follower() {
+        m_settings.instance = "own";
+        m_settings.data_centre = data_centre_id{"east"};
+    }
+
+    /// Makes @a peers the instances of this data centre; earlier ones are preferred as relay.
+    auto set_relays(const std::vector<loopback_peer*>& peers) -> void {
+        auto instances = std::vector<instance_record>{
+            {.name = "own", .data_centre = m_settings.data_centre, .cpu_share = 1}};
+        for (auto* peer : peers) {
+            instances.push_back({.name = "peer" + std::to_string(instances.size()),
+                                 .data_centre = m_settings.data_centre,
+                                 .internal = peer->address(),
+                                 .cpu_share = 10.0 - static_cast<double>(instances.size())});
+        }
+        m_cluster.set_instances(std::move(instances));
+    }
+
+    /// Runs the event loop until @a condition holds; false after ten seconds without it.
+    template <class Condition>
+    auto run_until(Condition condition) -> bool {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            m_context.run_one_for(std::chrono::milliseconds{100});
+        }
+        return condition();
+    }
+
+    auto is_out() const -> bool { return m_cluster.out_of_service_since(data_centre).has_value(); }
+    auto executor() -> boost::asio::any_io_executor { return m_context.get_executor(); }
+
+    boost::asio::io_context m_context{1};
+    gateway_settings m_settings;
+    cluster_state m_cluster{m_settings, m_context.get_executor()};
+    store_access m_store{m_settings, m_cluster, m_context.get_executor(), platform::platform_dialect};
+    cluster_state_feed m_feed{m_settings, m_cluster, m_store};
+    store_follower m_follower{m_store,
+                              m_cluster,
+                              m_settings,
+                              m_context.get_executor(),
+                              {.kind = kind, .batch_delay = duration{}},
+                              m_feed.out_of_service_events()};
+};
+
+// Guards against requests to a data centre that is out of service: a new relay's list was older than the
+// follower's copy and took a live entry away, and the entry was refused when it was offered again.
+TEST_F(relayed_follower, an_older_list_of_another_relay_keeps_a_live_entry) {
+    auto first_answers = 0;
+    auto second_answers = 0;
+    auto first = loopback_peer{executor(), [&](const auto&) {
+                                   return ++first_answers == 1
+                                              ? relay_answer(entry_revision, true, json::array({entry()}))
+                                              : std::string{};
+                               }};
+    auto second =
+        loopback_peer{executor(), [&](const auto&) {
+                          return ++second_answers == 1
+                                     ? relay_answer(entry_revision - 16, true, json::array())
+                                     : relay_answer(entry_revision + 3, false, json::array({entry()}));
+                      }};
+    set_relays({&first, &second});
+    boost::asio::co_spawn(m_context, m_follower.run(), boost::asio::detached);
+    ASSERT_TRUE(run_until([&] { return is_out(); }));
+    ASSERT_TRUE(run_until([&] { return second_answers >= 2; }));
+    EXPECT_TRUE(is_out()) << "an older list was applied";
+    ASSERT_TRUE(run_until([&] { return second_answers >= 3; }));
+    EXPECT_TRUE(is_out()) << "the live entry was refused";
+}
+
+// Guards against the same loss by way of the controller: an instance whose copy lacked the entry, but not its
+// revision, told all others that the entry was removed.
+TEST_F(relayed_follower, a_copy_made_older_by_a_list_does_not_vouch_for_a_removal) {
+    auto answers = 0;
+    auto relay =
+        loopback_peer{executor(), [&](const auto&) {
+                          ++answers;
+                          return answers == 1   ? relay_answer(entry_revision, true, json::array({entry()}))
+                                 : answers == 2 ? relay_answer(entry_revision - 16, true, json::array())
+                                                : std::string{};
+                      }};
+    set_relays({&relay});
+    boost::asio::co_spawn(m_context, m_follower.run(), boost::asio::detached);
+    ASSERT_TRUE(run_until([&] { return answers >= 3; }));
+    const auto query = json{{"kind", kind}, {"versions", {{"evacuations/west", entry_revision}}}};
+    const auto answer = json::parse(m_follower.answer_comparison(query));
+    const auto knows_entry = answer.at("present").size() == 1;
+    EXPECT_TRUE(knows_entry || answer.at("at").template get<int>() < entry_revision) << answer;
+}
+
+} // namespace
+} // namespace teaselcross
