Count an evacuation from the last copy without it, not from its arrival

Cause: the owner of a key in a data centre that is out of service is served for three of the allowed five seconds while its keys move, counted from the moment at which an instance learned of the order. One that learned of it more than two seconds late, or started long after the order and found it in its first list, would send for too long.

Change: the copy of the store's objects hands on the last time at which it was known not to contain the change; the order was not given before that. The time counts from there, and as over when there is no such time, as after a start. As it cannot be late any more, four fifths of the allowed time are used instead of three.

Evidence: with the old stamp put back, three of the three new tests of cluster_state fail; with the change they pass.

--- a/src/teaselcross/gateway/cluster_state.cpp
+++ b/src/teaselcross/gateway/cluster_state.cpp
@@ -150,9 +150,12 @@
 }
 
 auto cluster_state::take_out_of_service(const data_centre_id& data_centre, std::uint64_t revision,
-                                        instant now) -> void {
-    if (m_out_of_service.emplace(data_centre, now).second) {
-        log::info("data_centre_out", {{"data_centre", data_centre}, {"revision", revision}});
+                                        instant not_before, instant now) -> void {
+    const auto since = std::clamp(not_before, now - m_settings.evacuation, now);
+    if (m_out_of_service.emplace(data_centre, since).second) {
+        log::info("data_centre_out", {{"data_centre", data_centre},
+                                      {"revision", revision},
+                                      {"age_at_most_ms", (now - since).count() / 1000}});
         notify_change();
     }
 }
--- a/src/teaselcross/gateway/cluster_state.h
+++ b/src/teaselcross/gateway/cluster_state.h
@@ -59,10 +59,14 @@
     auto candidates(const service_id& service) -> const std::vector<target_view*>&;
     auto policy(const service_id& service) const -> service_policy;
 
-    /// When the data centre was taken out of service; nothing while it is in service.
+    /// The earliest time at which the data centre may have been taken out of service; nothing while it is in
+    /// service.
     auto out_of_service_since(const data_centre_id& data_centre) const -> std::optional<instant>;
-    /// @a revision is that of the entry in the store, for the log.
-    auto take_out_of_service(const data_centre_id& data_centre, std::uint64_t revision, instant now) -> void;
+    /// Applies the entry of @a revision in the store that takes a data centre out of service. @a not_before
+    /// is the last time at which there was no such entry; instant{} if there is none, as after a start: the
+    /// entry may then be of any age, and the time that targets have left counts as over.
+    auto take_out_of_service(const data_centre_id& data_centre, std::uint64_t revision, instant not_before,
+                             instant now) -> void;
     auto return_to_service(const data_centre_id& data_centre, instant now) -> void;
 
     auto keys(const service_id& service) const -> std::shared_ptr<const key_map>;
--- a/src/teaselcross/gateway/cluster_state_feed.cpp
+++ b/src/teaselcross/gateway/cluster_state_feed.cpp
@@ -46,7 +46,7 @@
 }
 
 auto cluster_state_feed::target_events() -> follower_events {
-    return {.changed = [this](const store_object& object) { apply_target(object); }};
+    return {.changed = [this](const store_object& object, instant /*not_before*/) { apply_target(object); }};
 }
 
 auto cluster_state_feed::apply_routes(const store_object& object) -> void {
@@ -65,16 +65,16 @@
 }
 
 auto cluster_state_feed::route_events() -> follower_events {
-    return {.changed = [this](const store_object& object) { apply_routes(object); }};
+    return {.changed = [this](const store_object& object, instant /*not_before*/) { apply_routes(object); }};
 }
 
 auto cluster_state_feed::out_of_service_events() -> follower_events {
-    return {.changed = [this](const store_object& object) {
+    return {.changed = [this](const store_object& object, instant not_before) {
         const auto data_centre = data_centre_id{object.key.substr(object.key.find('/') + 1)};
         if (object.removed) {
             m_cluster.return_to_service(data_centre, monotonic_now());
         } else {
-            m_cluster.take_out_of_service(data_centre, object.version, monotonic_now());
+            m_cluster.take_out_of_service(data_centre, object.version, not_before, monotonic_now());
         }
     }};
 }
@@ -113,7 +113,7 @@
 }
 
 auto cluster_state_feed::key_map_events() -> follower_events {
-    return {.changed = [this](const store_object& object) { apply_key_map(object); },
+    return {.changed = [this](const store_object& object, instant /*not_before*/) { apply_key_map(object); },
             .patched = [this](const store_object& object,
                               std::uint64_t base) { return apply_key_map_changes(object, base); },
             .patched_object = [this](const std::string& key) { return stored_key_map(key); }};
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -24,9 +24,11 @@
 /// Suggested retry delay for a key whose owner was lost.
 constexpr auto lost_owner_retry_after = duration{std::chrono::milliseconds{400}};
 /// Requests still go to a key's owner, while its keys are transferred, for this fraction of the time in which
-/// a leaving target, or one in a data centre that was taken out of service, may get requests; the rest allows
-/// for delayed updates.
-constexpr auto owner_serving_fraction = 0.6;
+/// a leaving target may get requests; the rest allows for delayed updates.
+constexpr auto leaving_owner_fraction = 0.6;
+/// The same for an owner in a data centre that was taken out of service. That time counts from the earliest
+/// moment at which the order may have been given, so the rest allows only for the way of the request.
+constexpr auto out_of_service_owner_fraction = 0.8;
 /// Cost of a kilobyte from another data centre, expressed as waiting time: traffic between data centres is
 /// expensive.
 constexpr auto cross_data_centre_kilobyte_cost = duration{std::chrono::microseconds{5000}};
@@ -198,12 +200,11 @@
     }
     auto& view = owner->view;
     const auto out_since = m_cluster.out_of_service_since(view.listed.data_centre);
-    const auto serving_time = [](duration limit) {
-        return std::chrono::duration_cast<duration>(limit * owner_serving_fraction);
+    const auto is_over = [now](std::optional<instant> since, duration limit, double fraction) {
+        return since && now > *since + std::chrono::duration_cast<duration>(limit * fraction);
     };
-    const auto serving_time_over =
-        owner->leaving_since && now > *owner->leaving_since + serving_time(m_settings.drain);
-    if (serving_time_over || (out_since && now > *out_since + serving_time(m_settings.evacuation))) {
+    if (is_over(owner->leaving_since, m_settings.drain, leaving_owner_fraction) ||
+        is_over(out_since, m_settings.evacuation, out_of_service_owner_fraction)) {
         return {.reason = refusal::no_owner, .should_wait = true, .retry_after = owner_change_timeout};
     }
     if (const auto reason = check_send(current, view, now)) {
--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -102,7 +102,7 @@
                    {"complete_to", m_replica.complete_to},
                    {"copy_age_ms", m_confirmed_at == instant{} ? -1 : age().count() / 1000}});
     }
-    m_events.changed(object);
+    m_events.changed(object, m_confirmed_at);
 }
 
 auto store_follower::apply_object(const store_object& object, const change_origin& origin) -> void {
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -36,7 +36,9 @@
 
 /// Callbacks of a store_follower.
 struct follower_events {
-    std::function<void(const store_object&)> changed; ///< One object was added, changed or removed.
+    /// One object was added, changed or removed. @a not_before is the last time at which this change had not
+    /// been made yet; instant{} if there is none.
+    std::function<void(const store_object&, instant not_before)> changed;
     /// One object changed from version @a base; its value holds only the difference. Returns false when the
     /// difference does not apply to the known version. Needed only for kinds with a difference function.
     std::function<bool(const store_object&, std::uint64_t base)> patched;
--- a/tests/gateway/cluster_state_test.cpp
+++ b/tests/gateway/cluster_state_test.cpp
@@ -38,5 +38,31 @@
     EXPECT_LE(leaving_since(), start - m_settings.drain);
 }
 
+class cluster_state_out_of_service : public cluster_state_targets {
+protected:
+    auto take_out(instant not_before) -> std::optional<instant> {
+        m_cluster.take_out_of_service(m_data_centre, 1, not_before, start);
+        return m_cluster.out_of_service_since(m_data_centre);
+    }
+
+    data_centre_id m_data_centre{"west"};
+};
+
+// Guards against requests to a data centre beyond the allowed time after it was taken out of service, from an
+// instance that learned of it late: the time of learning counted as the time of the order.
+TEST_F(cluster_state_out_of_service, time_counts_from_the_last_copy_without_the_entry) {
+    EXPECT_EQ(take_out(start - seconds{2}), start - seconds{2});
+}
+
+// The same from an instance that started after the order.
+TEST_F(cluster_state_out_of_service, entry_found_at_the_start_may_be_of_any_age) {
+    EXPECT_EQ(take_out(instant{}), start - m_settings.evacuation);
+}
+
+TEST_F(cluster_state_out_of_service, time_is_kept_when_the_entry_is_reported_again) {
+    take_out(start - seconds{2});
+    EXPECT_EQ(take_out(start), start - seconds{2});
+}
+
 } // namespace
 } // namespace teaselcross
