Check in the soak that a data centre out of service gets nothing new

The soak took data centres out of service but did not look at what reached them afterwards, and took them back after at most six of the five seconds that are allowed. It now takes them out for two to ten seconds, and a target there that gets a request from an instance in touch later than five seconds after the order reports a broken promise.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -175,8 +175,10 @@
     const auto* name = data_centres[m_random() % data_centres.size()];
     tell(std::string{"take out "} + name);
     m_store.put(platform::kinds::evacuations, name, json::object());
-    co_await pause(seconds(2, 6));
+    m_targets.take_out_of_service(name);
+    co_await pause(seconds(2, 10));
     m_store.remove(platform::kinds::evacuations, name);
+    m_targets.return_to_service(name);
 }
 
 auto soak::one_fault(int kind) -> asio::awaitable<void> {
--- a/tests/soak/targets.cpp
+++ b/tests/soak/targets.cpp
@@ -25,6 +25,8 @@
 /// News of a leaving target reach instances within the bound; what was sent before is on its way for a
 /// moment.
 constexpr auto drain_slack = duration{std::chrono::milliseconds{300}};
+/// Time after which a data centre that is out of service gets no requests, as the settings have it.
+constexpr auto evacuation_bound = duration{std::chrono::seconds{5}};
 constexpr auto work_poll = duration{std::chrono::milliseconds{2}};
 
 auto pause(asio::io_context& context, duration period) -> asio::awaitable<void> {
@@ -203,6 +205,9 @@
     if (late && is_in_touch(seen, id, now)) {
         report_broken(seen, "leaving targets get nothing new", m_options.id + " got " + id);
     }
+    if (m_group.must_be_idle(m_options.data_centre, now) && is_in_touch(seen, id, now)) {
+        report_broken(seen, "data centres out of service get nothing new", m_options.id + " got " + id);
+    }
     if (m_running + m_waiting >= m_options.slots + m_options.queue) {
         co_return co_await write_answer(from, refusal(request, http::status::service_unavailable));
     }
@@ -247,6 +252,15 @@
     co_return co_await write_answer(from, std::move(answer));
 }
 
+auto target_group::take_out_of_service(const std::string& data_centre) -> void {
+    m_out_since.emplace(data_centre, monotonic_now());
+}
+
+auto target_group::must_be_idle(const std::string& data_centre, instant now) const -> bool {
+    const auto found = m_out_since.find(data_centre);
+    return found != m_out_since.end() && now > found->second + evacuation_bound;
+}
+
 auto target_group::add(target_options options) -> target& {
     m_targets.push_back(std::make_unique<target>(*this, std::move(options)));
     return *m_targets.back();
--- a/tests/soak/targets.h
+++ b/tests/soak/targets.h
@@ -96,6 +96,11 @@
     auto registry() -> store& { return m_registry; }
     auto seen() -> journal& { return m_seen; }
     auto drain() const -> duration { return m_drain; }
+    /// Records the order; one that is given while another holds changes nothing.
+    auto take_out_of_service(const std::string& data_centre) -> void;
+    auto return_to_service(const std::string& data_centre) -> void { m_out_since.erase(data_centre); }
+    /// Whether the data centre has been out of service for longer than requests may still arrive.
+    auto must_be_idle(const std::string& data_centre, instant now) const -> bool;
     auto random() -> std::mt19937_64& { return m_random; }
 
 private:
@@ -103,6 +108,7 @@
     store& m_registry;
     journal& m_seen;
     duration m_drain;
+    std::map<std::string, instant> m_out_since; ///< Data centres out of service.
     std::mt19937_64 m_random;
     std::vector<std::unique_ptr<target>> m_targets;
 };
