Bound answers without end, in a head or a body

Callers of a target, a store or a peer that sends bytes without end got no answer in time, and the instance's memory grew.

Change: a connection buffers at most 256 KB; the buffered part of a body has a time limit (the time left to the deadline plus the stall limit; for calls to the store and to peers their timeout, at least 2 s); a streamed body ends the stall limit after the caller's own time. The connection is closed in each case.

--- a/src/teaselcross/entry/entry_service.cpp
+++ b/src/teaselcross/entry/entry_service.cpp
@@ -453,7 +453,7 @@
     if (!request.operation.empty()) {
         answer.parser->get().set(fields::idempotency_key, request.operation);
     }
-    const auto sent = co_await stream_answer(connection, answer, stall_timeout);
+    const auto sent = co_await stream_answer(connection, answer, {.stall_timeout = stall_timeout});
     if (sent) {
         m_metrics.count(counter::answered);
         end_exchange(m_pool, std::move(answer));
--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -9,6 +9,8 @@
 
 /// Consecutive failures after which the owner of a key is treated as temporarily unreachable.
 constexpr auto owner_failure_threshold = 2U;
+/// Assumed when a caller does not state how long it waits.
+constexpr auto default_patience = duration{std::chrono::seconds{30}};
 /// Minimum retry delay suggested to a refused caller: about the duration of one send.
 constexpr auto min_retry_after = duration{std::chrono::milliseconds{40}};
 
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -115,6 +115,7 @@
         const auto left = std::max(until - monotonic_now(), duration{1});
         const auto limits = exchange_limits{.answer_timeout = left,
                                             .stall_timeout = std::max(left, body_stall_timeout),
+                                            .buffer_timeout = left + body_stall_timeout,
                                             .buffered_body_limit = max_buffered_answer};
         received = co_await receive_answer(current.answer, current.is_head_request, limits);
         if (!received) {
@@ -186,7 +187,10 @@
         end_exchange(m_pool, std::move(answer));
         sent = co_await write_answer(link, std::move(response));
     } else {
-        sent = co_await stream_answer(link, answer, body_stall_timeout);
+        const auto patience = current.caller.time_left.value_or(default_patience);
+        const auto left = current.arrived + patience + body_stall_timeout - monotonic_now();
+        const auto limits = stream_limits{.stall_timeout = body_stall_timeout, .total_timeout = left};
+        sent = co_await stream_answer(link, answer, limits);
         if (sent) {
             end_exchange(m_pool, std::move(answer));
         } else {
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-/// Assumed when a caller does not state how long it waits.
-constexpr auto default_patience = duration{std::chrono::seconds{30}};
 /// A request with less time left is not sent: the round trip would take most of it.
 constexpr auto min_useful_time = duration{std::chrono::milliseconds{10}};
 /// A key in transfer is usually served again within this time.
--- a/src/teaselcross/http/connection_pool.h
+++ b/src/teaselcross/http/connection_pool.h
@@ -26,7 +26,10 @@
 
 /// One client connection with its read buffer.
 struct connection {
-    explicit connection(boost::beast::tcp_stream opened) : stream{std::move(opened)} {}
+    /// Bounds what a peer can send without completing a header field or the frame of a chunk.
+    static constexpr auto max_buffered = std::size_t{256} * 1024;
+
+    explicit connection(boost::beast::tcp_stream opened) : stream{std::move(opened)}, buffer{max_buffered} {}
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
--- a/src/teaselcross/http/exchange.cpp
+++ b/src/teaselcross/http/exchange.cpp
@@ -1,11 +1,13 @@
 #include "http/exchange.h"
 
+#include "runtime/clock.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <array>
+#include <algorithm>
 
 namespace teaselcross {
 
@@ -15,14 +17,22 @@
 namespace {
 
 constexpr auto part_size = std::size_t{16} * 1024;
+/// A large body may take longer than the first byte is waited for.
+constexpr auto min_body_time = duration{std::chrono::seconds{2}};
 constexpr auto answer_header_limit = std::uint32_t{64 * 1024};
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
 /// Reads the rest of a short body. Returns false if the body was truncated.
 auto read_short_body(open_answer& answer, exchange_limits limits) -> asio::awaitable<bool> {
+    const auto started = monotonic_now();
     while (!answer.complete && answer.body.size() <= limits.buffered_body_limit) {
-        auto part = co_await read_part(answer, limits.stall_timeout);
+        const auto left = limits.buffer_timeout - (monotonic_now() - started);
+        // The timeout of a read does not end one whose bytes are there already.
+        if (left <= duration::zero()) {
+            co_return false;
+        }
+        auto part = co_await read_part(answer, std::min(limits.stall_timeout, left));
         if (!part) {
             co_return false;
         }
@@ -129,8 +139,10 @@
 auto perform_exchange(connection_pool& pool, endpoint peer, http_request request, duration timeout,
                       std::size_t body_limit)
     -> asio::awaitable<tl::expected<http_response, exchange_error>> {
-    const auto limits = exchange_limits{
-        .answer_timeout = timeout, .stall_timeout = timeout, .buffered_body_limit = body_limit};
+    const auto limits = exchange_limits{.answer_timeout = timeout,
+                                        .stall_timeout = timeout,
+                                        .buffer_timeout = std::max(timeout, min_body_time),
+                                        .buffered_body_limit = body_limit};
     auto answer = co_await begin_exchange(pool, std::move(peer), std::move(request), limits);
     if (!answer) {
         co_return tl::unexpected(answer.error());
--- a/src/teaselcross/http/exchange.h
+++ b/src/teaselcross/http/exchange.h
@@ -36,6 +36,7 @@
 struct exchange_limits {
     duration answer_timeout{};                                ///< Until the response header has arrived.
     duration stall_timeout = std::chrono::seconds{5};         ///< Between two parts of the body.
+    duration buffer_timeout = duration::max();                ///< For the part of the body that is buffered.
     std::size_t buffered_body_limit = std::size_t{64} * 1024; ///< Bodies up to this size are buffered.
 };
 
--- a/src/teaselcross/http/server.cpp
+++ b/src/teaselcross/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "logging/log.h"
+#include "runtime/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -180,8 +181,9 @@
     co_return !error;
 }
 
-auto stream_answer(server_connection& client, open_answer& answer, duration stall_timeout)
+auto stream_answer(server_connection& client, open_answer& answer, stream_limits limits)
     -> asio::awaitable<bool> {
+    const auto started = monotonic_now();
     auto message = http::response<http::buffer_body>{answer.header()};
     message.keep_alive(client.keep_alive);
     if (!message.has_content_length()) {
@@ -205,7 +207,12 @@
         if (broken || answer.complete) {
             break;
         }
-        auto next = co_await read_part(answer, stall_timeout);
+        const auto left = limits.total_timeout - (monotonic_now() - started);
+        if (left <= duration::zero()) {
+            broken = true;
+            break;
+        }
+        auto next = co_await read_part(answer, std::min(limits.stall_timeout, left));
         if (!next) {
             broken = true;
             break;
--- a/src/teaselcross/http/server.h
+++ b/src/teaselcross/http/server.h
@@ -100,10 +100,15 @@
 /// Writes a complete response. Returns false if the connection broke.
 auto write_answer(server_connection& client, http_response answer) -> boost::asio::awaitable<bool>;
 
+struct stream_limits {
+    duration stall_timeout{};                 ///< Between two parts of the body.
+    duration total_timeout = duration::max(); ///< For the whole body, which may be without end.
+};
+
 /// Writes a response with the header of @a answer and streams the part of the body that has not been read
-/// yet. Returns false if either connection broke; the client has then received a detectably truncated
-/// response or none.
-auto stream_answer(server_connection& client, open_answer& answer, duration stall_timeout)
+/// yet. Returns false if either connection broke or a limit was reached; the client has then received a
+/// detectably truncated response or none.
+auto stream_answer(server_connection& client, open_answer& answer, stream_limits limits)
     -> boost::asio::awaitable<bool>;
 
 /// Completes when the peer of @a client disconnects, and never otherwise.
--- a/src/teaselcross/keeper/keeper_service.cpp
+++ b/src/teaselcross/keeper/keeper_service.cpp
@@ -170,11 +170,11 @@
     if (answer->complete) {
         guard->set_succeeded();
         guard.reset();
-        const auto sent = co_await stream_answer(connection, *answer, stall_timeout);
+        const auto sent = co_await stream_answer(connection, *answer, {.stall_timeout = stall_timeout});
         end_exchange(m_pool, std::move(*answer));
         co_return sent;
     }
-    const auto sent = co_await stream_answer(connection, *answer, stall_timeout);
+    const auto sent = co_await stream_answer(connection, *answer, {.stall_timeout = stall_timeout});
     if (sent) {
         guard->set_succeeded();
         end_exchange(m_pool, std::move(*answer));
@@ -346,7 +346,7 @@
                         .body = answer->body},
                        monotonic_now());
     gate.wake_operation(id);
-    const auto sent = co_await stream_answer(connection, *answer, stall_timeout);
+    const auto sent = co_await stream_answer(connection, *answer, {.stall_timeout = stall_timeout});
     end_exchange(m_pool, std::move(*answer));
     co_return sent;
 }
