Count only the time in which a process runs towards its planned stop

The soak reported a broken promise for an instance that it had itself frozen for 5.6 of the six seconds of its planned stop (seed 605: stopped at 2.715 s, frozen from 3.596 s for 5.761 s; seed 624: stopped at 9.132 s, frozen from 9.561 s for 5.641 s, and it logs its end 6 ms after the thaw). A frozen process cannot act, and the bounds hold for processes that run, so the time frozen no longer counts; the six seconds stay.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,3 +10,6 @@
 scripts/lint.sh
 scripts/run_tests.sh
 scripts/soak.sh --seconds 6 1 2 2
+# Regression: an instance that is frozen while it stops (605, 624).
+scripts/soak.sh --seconds 12 605 605
+scripts/soak.sh --seconds 12 624 624
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -54,14 +54,16 @@
     tell("stop " + chosen.name);
     disturb(index);
     ::kill(pid, SIGTERM);
-    const auto until = monotonic_now() + grace;
-    while (monotonic_now() < until && chosen.pid == pid) {
+    // A frozen process cannot stop, so only the time in which it runs counts.
+    auto left = duration{grace};
+    for (auto last = monotonic_now(); left > duration::zero() && chosen.pid == pid; last = monotonic_now()) {
         // Only while nothing else goes on is a cut answer the stop's own doing.
         m_fronts[index].stopping_since = m_faults_now == 1 ? std::optional{monotonic_now()} : std::nullopt;
         if (::waitpid(pid, nullptr, WNOHANG) == pid) {
             chosen.pid = 0;
         }
         co_await pause(std::chrono::milliseconds{20});
+        left -= chosen.is_frozen ? duration::zero() : monotonic_now() - last;
     }
     m_fronts[index].stopping_since.reset();
     if (chosen.pid == pid) {
@@ -85,8 +87,10 @@
     disturb(index);
     tell("freeze " + chosen.name + " for " + std::to_string(length.count() / 1000) + " ms");
     ::kill(pid, SIGSTOP);
+    chosen.is_frozen = true;
     co_await pause(length);
     if (chosen.pid == pid) {
+        chosen.is_frozen = false;
         ::kill(pid, SIGCONT);
         m_seen.late_orders_until = monotonic_now() + thaw_allowance;
     }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -171,6 +171,7 @@
         arguments.push_back(word.data());
     }
     arguments.push_back(nullptr);
+    started.is_frozen = false;
     if (posix_spawn(&started.pid, m_options.program.c_str(), &actions, nullptr, arguments.data(), environ) !=
         0) {
         std::cerr << "teaselcross_soak: cannot start " << m_options.program << "\n";
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -41,6 +41,7 @@
     std::string log_file;
     std::unique_ptr<proxy> store_link;
     pid_t pid = 0;
+    bool is_frozen = false;
 };
 
 /// Belongs to one thread. Ends the processes that it has started, by their ids.
