Serve pipelined requests side by side and answer them in order

Cause: a connection's requests were handled one after the other, so a request that a client had sent behind another waited for its answer before it reached a target. Change: each request of a connection has a responder, which writes when its turn has come. The response to the last request that was read closes the connection, so nothing that was passed on loses its answer; what lies behind it has not been read. A stop accepts what waits to be accepted, and serves what has arrived on idle connections. The process ends when callers have closed, because unread requests would reset the connection and with it the last answer. An exception of a handler is logged and answered with 500; before, it was discarded and the request stayed counted as busy.

--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -30,7 +30,7 @@
 store_standin::store_standin(asio::io_context& context, const std::string& host, std::uint16_t port)
     : m_context{context}, m_server{context.get_executor(),
                                    {.host = host, .port = port, .body_limit = largest_object + 1},
-                                   [this](server_connection& from, http_request request) {
+                                   [this](responder& from, http_request request) {
                                        return handle(from, std::move(request));
                                    }} {}
 
@@ -43,7 +43,7 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-auto store_standin::handle(server_connection& from, http_request request) -> asio::awaitable<bool> {
+auto store_standin::handle(responder& from, http_request request) -> asio::awaitable<bool> {
     if (auto answer = administer(request)) {
         co_return co_await write_answer(from, std::move(*answer));
     }
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -31,7 +31,7 @@
         bool removed = false;
     };
 
-    auto handle(server_connection& from, http_request request) -> boost::asio::awaitable<bool>;
+    auto handle(responder& from, http_request request) -> boost::asio::awaitable<bool>;
     auto administer(const http_request& request) -> std::optional<http_response>;
     auto read(const http_request& request, const std::string& key) -> http_response;
     auto write(const http_request& request, const std::string& key) -> http_response;
--- a/src/standins/target_standin.cpp
+++ b/src/standins/target_standin.cpp
@@ -57,7 +57,7 @@
     }
     m_server = std::make_unique<http_server>(
         m_context.get_executor(), server_options{.host = m_shape.host, .port = m_shape.port},
-        [this](server_connection& from, http_request request) { return handle(from, std::move(request)); });
+        [this](responder& from, http_request request) { return handle(from, std::move(request)); });
     m_server->start();
 }
 
@@ -113,7 +113,7 @@
     }
 }
 
-auto target_standin::handle(server_connection& from, http_request request) -> asio::awaitable<bool> {
+auto target_standin::handle(responder& from, http_request request) -> asio::awaitable<bool> {
     // What was sent to a frozen target lies in its socket and is read when it returns.
     co_await wait_while_frozen();
     if (m_down) {
@@ -196,7 +196,7 @@
     last = std::max(last, fence);
 }
 
-auto target_standin::work(server_connection& from, http_request request) -> asio::awaitable<bool> {
+auto target_standin::work(responder& from, http_request request) -> asio::awaitable<bool> {
     auto& record = m_fleet.record();
     const auto keyed = request.count("Teaselcross-Shard") > 0;
     const auto shard = static_cast<std::uint32_t>(number_of(request, "Teaselcross-Shard"));
@@ -246,7 +246,7 @@
                            const std::vector<target_shape>& shapes, std::uint64_t seed)
     : m_context{context}, m_server{context.get_executor(),
                                    {.host = host, .port = port},
-                                   [this](server_connection& from, http_request request) {
+                                   [this](responder& from, http_request request) {
                                        return administer(from, std::move(request));
                                    }} {
     for (const auto& shape : shapes) {
@@ -284,7 +284,7 @@
     }));
 }
 
-auto target_fleet::administer(server_connection& from, http_request request) -> asio::awaitable<bool> {
+auto target_fleet::administer(responder& from, http_request request) -> asio::awaitable<bool> {
     if (request.target() == "/lab/fault") {
         const auto fault = nlohmann::json::parse(request.body());
         auto met = 0;
--- a/src/standins/target_standin.h
+++ b/src/standins/target_standin.h
@@ -59,9 +59,9 @@
 private:
     using clock = std::chrono::steady_clock;
 
-    auto handle(server_connection& from, http_request request) -> boost::asio::awaitable<bool>;
+    auto handle(responder& from, http_request request) -> boost::asio::awaitable<bool>;
     auto grant(const http_request& request) -> http_response;
-    auto work(server_connection& from, http_request request) -> boost::asio::awaitable<bool>;
+    auto work(responder& from, http_request request) -> boost::asio::awaitable<bool>;
     auto refusal(const http_request& request, const std::string& reason) -> http_response;
     auto bearable() const -> std::uint32_t;
     auto work_time() -> clock::duration;
@@ -105,7 +105,7 @@
     auto other_holders(const target_standin& asking, std::uint32_t shard) const -> std::size_t;
 
 private:
-    auto administer(server_connection& from, http_request request) -> boost::asio::awaitable<bool>;
+    auto administer(responder& from, http_request request) -> boost::asio::awaitable<bool>;
     /// Looks again and again for shards that two targets hold.
     auto patrol() -> boost::asio::awaitable<void>;
 
--- a/src/teaselcross/entry/entry_service.cpp
+++ b/src/teaselcross/entry/entry_service.cpp
@@ -136,7 +136,7 @@
     return to_text({.issued = wall_now(), .random = m_chooser.random(), .home = home});
 }
 
-auto entry_service::handle(server_connection& connection, http_request request) -> asio::awaitable<bool> {
+auto entry_service::handle(responder& connection, http_request request) -> asio::awaitable<bool> {
     m_metrics.count(counter::requests);
     const auto path = std::string{request.target()};
     if (path.starts_with(operations_path)) {
@@ -153,7 +153,7 @@
     co_return sent;
 }
 
-auto entry_service::parse_request(const server_connection& connection, http_request request)
+auto entry_service::parse_request(const responder& connection, http_request request)
     -> tl::expected<caller_request, http_response> {
     if (!m_routes) {
         return tl::unexpected(error_answer(request, http::status::service_unavailable, "no_configuration",
@@ -189,7 +189,7 @@
     parsed.attempts.deadline = parsed.arrived + remaining;
     parsed.attempts.repeatable = true;
     parsed.caller =
-        request.count(fields::caller) > 0 ? std::string{request[fields::caller]} : connection.remote;
+        request.count(fields::caller) > 0 ? std::string{request[fields::caller]} : connection.remote();
     if (!is_idempotent(request.method())) {
         parsed.operation = std::string{request[fields::idempotency_key]};
         parsed.issued_here = parsed.operation.empty();
@@ -352,8 +352,8 @@
     co_return attempt_result{};
 }
 
-auto entry_service::send_with_hedge(server_connection& connection, caller_request& request,
-                                    chosen_target chosen) -> asio::awaitable<attempt_result> {
+auto entry_service::send_with_hedge(responder& connection, caller_request& request, chosen_target chosen)
+    -> asio::awaitable<attempt_result> {
     if (!request.operation.empty()) {
         // The operation continues when its caller disconnects; a repeated request gets the recorded answer.
         co_return co_await send_attempt(request, chosen);
@@ -369,7 +369,7 @@
     if (delay) {
         auto first_completed = co_await (
             send_attempt(request, chosen) || send_hedge(request, chosen.target, *delay) ||
-            wait_for_disconnect(connection) || wait_for_keeper_change(chosen.target, chosen.keeper));
+            connection.wait_for_disconnect() || wait_for_keeper_change(chosen.target, chosen.keeper));
         switch (first_completed.index()) {
         case 0:
             co_return std::move(std::get<0>(first_completed));
@@ -381,7 +381,7 @@
             co_return make_result(attempt_end::lost, "keeper_replaced");
         }
     }
-    auto first_completed = co_await (send_attempt(request, chosen) || wait_for_disconnect(connection) ||
+    auto first_completed = co_await (send_attempt(request, chosen) || connection.wait_for_disconnect() ||
                                      wait_for_keeper_change(chosen.target, chosen.keeper));
     switch (first_completed.index()) {
     case 0:
@@ -393,7 +393,7 @@
     }
 }
 
-auto entry_service::run(server_connection& connection, caller_request& request) -> asio::awaitable<bool> {
+auto entry_service::run(responder& connection, caller_request& request) -> asio::awaitable<bool> {
     auto excluded = target_id{};
     request.last_refusal = {.reason = "no_owner", .retry_after = routing_wait};
     while (true) {
@@ -448,7 +448,7 @@
     }
 }
 
-auto entry_service::deliver_answer(server_connection& connection, caller_request& request, open_answer answer)
+auto entry_service::deliver_answer(responder& connection, caller_request& request, open_answer answer)
     -> asio::awaitable<bool> {
     if (!request.operation.empty()) {
         answer.parser->get().set(fields::idempotency_key, request.operation);
@@ -463,7 +463,7 @@
     co_return sent;
 }
 
-auto entry_service::handle_issue_request(server_connection& connection, const http_request& request)
+auto entry_service::handle_issue_request(responder& connection, const http_request& request)
     -> asio::awaitable<bool> {
     // POST /.teaselcross/operations/SERVICE[/KEY] issues an ID for one operation.
     const auto path = std::string_view{request.target().data(), request.target().size()};
--- a/src/teaselcross/entry/entry_service.h
+++ b/src/teaselcross/entry/entry_service.h
@@ -21,7 +21,7 @@
     entry_service(executor_thread& forward_thread, connection_pool& pool, metrics& metrics_registry,
                   std::uint64_t seed);
 
-    auto handle(server_connection& connection, http_request request) -> boost::asio::awaitable<bool>;
+    auto handle(responder& connection, http_request request) -> boost::asio::awaitable<bool>;
 
     /// Replaces the routing and resumes the requests that wait for a newer one.
     auto set_routing(std::shared_ptr<const routing> routes) -> void;
@@ -31,24 +31,24 @@
     struct chosen_target;
     struct attempt_result;
 
-    auto parse_request(const server_connection& connection, http_request request)
+    auto parse_request(const responder& connection, http_request request)
         -> tl::expected<caller_request, http_response>;
-    auto run(server_connection& connection, caller_request& request) -> boost::asio::awaitable<bool>;
+    auto run(responder& connection, caller_request& request) -> boost::asio::awaitable<bool>;
     auto select_target(caller_request& request, const target_id& excluded) -> std::optional<chosen_target>;
     auto make_forwarded_message(caller_request& request, const chosen_target& chosen) -> http_request;
     auto send_attempt(caller_request& request, chosen_target chosen)
         -> boost::asio::awaitable<attempt_result>;
     auto send_hedge(caller_request& request, target_id first, duration delay)
         -> boost::asio::awaitable<attempt_result>;
-    auto send_with_hedge(server_connection& connection, caller_request& request, chosen_target chosen)
+    auto send_with_hedge(responder& connection, caller_request& request, chosen_target chosen)
         -> boost::asio::awaitable<attempt_result>;
-    auto deliver_answer(server_connection& connection, caller_request& request, open_answer answer)
+    auto deliver_answer(responder& connection, caller_request& request, open_answer answer)
         -> boost::asio::awaitable<bool>;
     auto wait_for_routing(duration max_wait) -> boost::asio::awaitable<void>;
     /// Completes when the keeper of @a target is an instance other than @a keeper.
     auto wait_for_keeper_change(target_id target, instance_id keeper) -> boost::asio::awaitable<void>;
     auto issue_operation_id(const target_id& home) -> std::string;
-    auto handle_issue_request(server_connection& connection, const http_request& request)
+    auto handle_issue_request(responder& connection, const http_request& request)
         -> boost::asio::awaitable<bool>;
 
     executor_thread& m_forward_thread;
--- a/src/teaselcross/entry/forwarder.cpp
+++ b/src/teaselcross/entry/forwarder.cpp
@@ -73,7 +73,7 @@
                        .header_limit = options.header_limit,
                        .body_limit = options.body_limit,
                        .connection_limit = options.caller_connections},
-                      [this](server_connection& connection, http_request request) {
+                      [this](responder& connection, http_request request) {
                           return m_entry.handle(connection, std::move(request));
                       }},
       m_instance_server{forward_thread.context().get_executor(),
@@ -82,7 +82,7 @@
                          .header_limit = options.header_limit + extra_header_bytes,
                          .body_limit = options.body_limit,
                          .connection_limit = instance_connection_limit},
-                        [this](server_connection& connection, http_request request) {
+                        [this](responder& connection, http_request request) {
                             return m_keeper.handle(connection, std::move(request));
                         }},
       m_timer{forward_thread.context()} {}
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -84,7 +84,7 @@
         asio::co_spawn(m_context, std::move(work), asio::detached);
     }
     auto make_server(const endpoint& address, request_handler handler) -> std::unique_ptr<http_server>;
-    auto answer_readiness(server_connection& link, http_request request) -> asio::awaitable<bool>;
+    auto answer_readiness(responder& link, http_request request) -> asio::awaitable<bool>;
     auto is_ready() const -> bool;
     auto add_follower(follower_options options, follower_events events) -> void;
     auto copies() const -> copy_states;
@@ -181,7 +181,7 @@
     return true;
 }
 
-auto gateway::answer_readiness(server_connection& link, http_request request) -> asio::awaitable<bool> {
+auto gateway::answer_readiness(responder& link, http_request request) -> asio::awaitable<bool> {
     const auto is_check = platform::is_readiness_check(request);
     const auto ready = is_ready();
     if (ready != m_was_ready) {
@@ -394,7 +394,8 @@
         co_await sleep_for(housekeeping_interval / 2);
     }
     m_callers->stop();
-    while (m_callers->busy() > 0 && monotonic_now() < until) {
+    // A connection stays until its caller has closed it, which shows that the last answer has arrived.
+    while ((m_callers->busy() > 0 || m_callers->connections() > 0) && monotonic_now() < until) {
         co_await sleep_for(housekeeping_interval / 5);
     }
     log::info("stopped", {{"busy", m_callers->busy()}});
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -122,7 +122,7 @@
                            metrics& measured)
     : m_settings{settings}, m_store{store}, m_controller{own_controller}, m_measured{measured} {}
 
-auto peer_service::relay(server_connection& link, const http_request& request) -> asio::awaitable<bool> {
+auto peer_service::relay(responder& link, const http_request& request) -> asio::awaitable<bool> {
     if (!m_store.is_healthy()) {
         // Refuse at once, so that the peer tries another instance instead of waiting for a timeout.
         auto refusal = http_response{http::status::service_unavailable, 11};
@@ -139,7 +139,7 @@
     co_return co_await write_answer(link, std::move(response));
 }
 
-auto peer_service::handle(server_connection& link, http_request request) -> asio::awaitable<bool> {
+auto peer_service::handle(responder& link, http_request request) -> asio::awaitable<bool> {
     const auto target = std::string{request.target().data(), request.target().size()};
     if (platform::is_store_read(request)) {
         co_return co_await relay(link, request);
--- a/src/teaselcross/gateway/peers.h
+++ b/src/teaselcross/gateway/peers.h
@@ -19,10 +19,10 @@
     auto add_follower(store_follower& follower) -> void { m_followers[follower.kind()] = &follower; }
 
     /// Handles one request on the internal port; to be passed to http_server as its handler.
-    auto handle(server_connection& link, http_request request) -> boost::asio::awaitable<bool>;
+    auto handle(responder& link, http_request request) -> boost::asio::awaitable<bool>;
 
 private:
-    auto relay(server_connection& link, const http_request& request) -> boost::asio::awaitable<bool>;
+    auto relay(responder& link, const http_request& request) -> boost::asio::awaitable<bool>;
 
     const gateway_settings& m_settings;
     store_access& m_store;
--- a/src/teaselcross/http/server.cpp
+++ b/src/teaselcross/http/server.cpp
@@ -8,11 +8,11 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+
 #include <sys/socket.h>
 
 namespace teaselcross {
@@ -23,7 +23,11 @@
 namespace {
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-constexpr auto write_timeout = std::chrono::seconds{30};
+/// How long a connection that was accepted before a stop may take to send its first request.
+constexpr auto first_request_limit = duration{std::chrono::milliseconds{200}};
+/// How long the client may take to close its side. A connection that is closed with unread requests is reset,
+/// and the client may lose the last response with it.
+constexpr auto linger_time = duration{std::chrono::milliseconds{500}};
 
 /// Builds the error response to a request that could not be parsed.
 auto error_answer(const boost::system::error_code& error, bool sets_outcome_header) -> http_response {
@@ -41,7 +45,6 @@
     if (sets_outcome_header) {
         answer.set("Teaselcross-Outcome", "not-run");
     }
-    answer.keep_alive(false);
     answer.body() = nlohmann::json{{"error", text}, {"outcome", "not-run"}}.dump() + "\n";
     answer.prepare_payload();
     return answer;
@@ -52,14 +55,36 @@
            error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+/// Whether the peer has closed the connection. False if there is input to be read first.
+auto is_closed_by_peer(asio::ip::tcp::socket& socket) -> bool {
+    auto byte = char{};
+    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+auto has_unread_input(asio::ip::tcp::socket& socket) -> bool {
+    auto byte = char{};
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/// Whether requests with this method may run side by side (RFC 9112, section 9.3.2).
+auto is_safe(http::verb method) -> bool {
+    return method == http::verb::get || method == http::verb::head || method == http::verb::options;
+}
+
 } // namespace
 
+/// A client connection with what its reader waits for.
 struct http_server::session {
-    explicit session(asio::ip::tcp::socket socket)
-        : client{.stream = boost::beast::tcp_stream{std::move(socket)}, .buffer = {}, .remote = {}} {}
+    explicit session(asio::ip::tcp::socket socket) : link{std::make_shared<client_link>(std::move(socket))} {}
 
-    server_connection client;
-    bool idle = true;
+    std::shared_ptr<client_link> link;
+    bool watching = false;   ///< The socket is watched for input.
+    bool has_input = false;  ///< The socket has input, or was closed by the client.
+    bool has_served = false; ///< A request has been read.
+    bool runs_alone = false; ///< A request is in progress beside which no other one may run.
+    std::size_t bytes_in_progress = 0;
+    instant idle_since = monotonic_now();
 };
 
 http_server::http_server(asio::any_io_executor executor, server_options options, request_handler handler)
@@ -75,15 +100,21 @@
     asio::co_spawn(m_executor, accept(), asio::detached);
 }
 
+auto http_server::close_after_next_answer() -> void {
+    m_close_after_next_answer = true;
+    for (const auto& each : m_sessions) {
+        each->link->closing = true;
+    }
+}
+
 auto http_server::stop() -> void {
+    accept_waiting();
     m_stopping = true;
     auto ignored = boost::system::error_code{};
     m_acceptor.close(ignored);
     for (const auto& each : m_sessions) {
-        each->client.keep_alive = false;
-        if (each->idle) {
-            each->client.stream.cancel();
-        }
+        each->link->closing = true;
+        each->link->wake_reader();
     }
 }
 
@@ -99,171 +130,208 @@
     auto ignored = boost::system::error_code{};
     m_acceptor.close(ignored);
     for (const auto& each : m_sessions) {
-        each->client.keep_alive = false;
         // A TCP reset, so that no peer takes it for an orderly shutdown.
-        each->client.stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
-        each->client.stream.socket().close(ignored);
+        each->link->stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+        each->link->close();
     }
 }
 
 auto http_server::accept() -> asio::awaitable<void> {
     while (!m_stopping) {
         auto [error, socket] = co_await m_acceptor.async_accept(as_result);
+        if (!error) {
+            start_session(std::move(socket));
+            continue;
+        }
         if (error == asio::error::operation_aborted || m_stopping) {
             co_return;
         }
-        if (error) {
-            // Probably out of file descriptors: waits until some connections have closed.
-            auto pause = asio::steady_timer{m_executor, std::chrono::milliseconds{50}};
-            co_await pause.async_wait(as_result);
-            continue;
-        }
-        if (m_sessions.size() >= m_options.connection_limit) {
-            log::warning("connection_limit",
-                         {{"port", m_options.port}, {"limit", m_options.connection_limit}});
-            continue;
+        // Probably out of file descriptors: waits until some connections have closed.
+        log::warning("accept_failed", {{"port", m_options.port}, {"error", error.message()}});
+        auto pause = asio::steady_timer{m_executor, std::chrono::milliseconds{50}};
+        co_await pause.async_wait(as_result);
+    }
+}
+
+/// Accepts the connections that clients have opened already; closing the port would reset them.
+auto http_server::accept_waiting() -> void {
+    auto error = boost::system::error_code{};
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        auto socket = asio::ip::tcp::socket{m_executor};
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            start_session(std::move(socket));
         }
-        auto ignored = boost::system::error_code{};
-        socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-        auto client_session = std::make_shared<session>(std::move(socket));
-        const auto remote = client_session->client.stream.socket().remote_endpoint(ignored);
-        client_session->client.remote = ignored ? std::string{} : remote.address().to_string();
-        m_sessions.insert(client_session);
-        asio::co_spawn(m_executor, serve(client_session), asio::detached);
     }
 }
 
+auto http_server::start_session(asio::ip::tcp::socket socket) -> void {
+    if (m_sessions.size() >= m_options.connection_limit) {
+        log::warning("connection_limit", {{"port", m_options.port}, {"limit", m_options.connection_limit}});
+        return;
+    }
+    auto ignored = boost::system::error_code{};
+    socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    auto client_session = std::make_shared<session>(std::move(socket));
+    auto& link = *client_session->link;
+    const auto remote = link.stream.socket().remote_endpoint(ignored);
+    link.remote = ignored ? std::string{} : remote.address().to_string();
+    link.closing = m_close_after_next_answer || m_stopping;
+    m_sessions.insert(client_session);
+    asio::co_spawn(m_executor, serve(client_session), asio::detached);
+}
+
+/// Whether the next request may be read. While the connection is closing, requests are read one at a time, so
+/// that the response to the first one can close it.
+auto http_server::may_read(const session& client_session) const -> bool {
+    const auto& link = *client_session.link;
+    if (link.is_read_to_end()) {
+        return false;
+    }
+    const auto in_progress = link.in_progress();
+    return in_progress == 0 ||
+           (!link.closing && !client_session.runs_alone && in_progress < m_options.pipeline_limit &&
+            client_session.bytes_in_progress < m_options.pipeline_bytes);
+}
+
 auto http_server::serve(std::shared_ptr<session> client_session) -> asio::awaitable<void> {
-    auto& client = client_session->client;
-    while (client.keep_alive && !m_stopping) {
-        auto parser = http::request_parser<http::string_body>{};
-        parser.header_limit(m_options.header_limit);
-        parser.body_limit(m_options.body_limit);
-        client_session->idle = client.buffer.size() == 0;
-        client.stream.expires_after(m_options.idle_limit);
-        const auto [header_error, header_size] =
-            co_await http::async_read_header(client.stream, client.buffer, parser, as_result);
-        client_session->idle = false;
-        auto error = header_error;
-        if (!error) {
-            client.stream.expires_after(m_options.request_limit);
-            const auto [body_error, body_size] =
-                co_await http::async_read(client.stream, client.buffer, parser, as_result);
-            error = body_error;
+    auto& link = *client_session->link;
+    while (!link.closed && (!link.is_read_to_end() || link.in_progress() > 0)) {
+        const auto is_idle = link.in_progress() == 0;
+        if (may_read(*client_session) && (link.buffer.size() > 0 || client_session->has_input)) {
+            co_await read_request(client_session);
+            continue;
         }
-        if (error) {
-            if (is_http_error(error)) {
-                client.keep_alive = false;
-                static_cast<void>(
-                    co_await write_answer(client, error_answer(error, m_options.sets_outcome_header)));
+        const auto idle_limit = !m_stopping                  ? m_options.idle_limit
+                                : client_session->has_served ? duration::zero()
+                                                             : first_request_limit;
+        const auto idle_end = client_session->idle_since + idle_limit;
+        if (is_idle && monotonic_now() >= idle_end) {
+            client_session->has_input = has_unread_input(link.stream.socket());
+            if (!client_session->has_input) {
+                break;
             }
-            break;
+            continue;
         }
-        client.stream.expires_never();
-        client.keep_alive = parser.get().keep_alive() && !m_stopping && !m_close_after_next_answer;
-        ++m_busy;
-        const auto keep_open = co_await m_handler(client, parser.release());
-        --m_busy;
-        if (!keep_open) {
+        co_await wait_for_input(client_session, is_idle ? idle_end - monotonic_now() : duration::max());
+    }
+    co_await close_gracefully(client_session);
+    m_sessions.erase(client_session);
+}
+
+/// Ends the connection for writing and waits a moment for the client to close its side. Reads nothing:
+/// requests that were not read are known to the client as not processed.
+auto http_server::close_gracefully(std::shared_ptr<session> client_session) -> asio::awaitable<void> {
+    auto& link = *client_session->link;
+    auto ignored = boost::system::error_code{};
+    link.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    const auto until = monotonic_now() + linger_time;
+    while (!link.closed && !link.disconnected && !ignored && monotonic_now() < until) {
+        if (client_session->has_input && is_closed_by_peer(link.stream.socket())) {
             break;
         }
+        co_await wait_for_input(client_session, until - monotonic_now());
     }
-    auto ignored = boost::system::error_code{};
-    client.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    m_sessions.erase(client_session);
+    link.close();
 }
 
-auto write_answer(server_connection& client, http_response answer) -> asio::awaitable<bool> {
-    answer.keep_alive(client.keep_alive);
-    client.stream.expires_after(write_timeout);
-    const auto [error, size] = co_await http::async_write(client.stream, answer, as_result);
-    client.stream.expires_never();
-    co_return !error;
+/// Waits until the client sends or disconnects or a response ends, for at most @a limit.
+auto http_server::wait_for_input(std::shared_ptr<session> client_session, duration limit)
+    -> asio::awaitable<void> {
+    auto& link = *client_session->link;
+    if (!client_session->watching && !client_session->has_input && !link.disconnected) {
+        client_session->watching = true;
+        link.stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                        [client_session](const boost::system::error_code& error) {
+                                            client_session->watching = false;
+                                            client_session->has_input = !error;
+                                            client_session->link->wake_reader();
+                                        });
+    }
+    if (limit == duration::max()) {
+        link.reader_wakeup.expires_at(asio::steady_timer::time_point::max());
+    } else {
+        link.reader_wakeup.expires_after(limit);
+    }
+    co_await link.reader_wakeup.async_wait(as_result);
+    if (client_session->has_input && !link.closed && link.in_progress() > 0 &&
+        is_closed_by_peer(link.stream.socket())) {
+        link.on_disconnected();
+    }
 }
 
-auto stream_answer(server_connection& client, open_answer& answer, stream_limits limits)
-    -> asio::awaitable<bool> {
-    const auto started = monotonic_now();
-    auto message = http::response<http::buffer_body>{answer.header()};
-    message.keep_alive(client.keep_alive);
-    if (!message.has_content_length()) {
-        message.chunked(true);
+auto http_server::read_request(std::shared_ptr<session> client_session) -> asio::awaitable<void> {
+    auto& link = *client_session->link;
+    auto parser = http::request_parser<http::string_body>{};
+    parser.header_limit(m_options.header_limit);
+    parser.body_limit(m_options.body_limit);
+    client_session->has_input = false;
+    link.stream.expires_after(m_options.request_limit);
+    const auto [error, size] = co_await http::async_read(link.stream, link.buffer, parser, as_result);
+    if (link.closed) {
+        co_return;
     }
-    auto serializer = http::response_serializer<http::buffer_body>{message};
-    client.stream.expires_after(write_timeout);
-    const auto [header_error, header_size] =
-        co_await http::async_write_header(client.stream, serializer, as_result);
-    auto part = std::exchange(answer.body, {});
-    auto broken = static_cast<bool>(header_error);
-    while (!broken) {
-        message.body().data = part.empty() ? nullptr : part.data();
-        message.body().size = part.size();
-        message.body().more = !answer.complete;
-        if (!part.empty() || answer.complete) {
-            client.stream.expires_after(write_timeout);
-            const auto [error, size] = co_await http::async_write(client.stream, serializer, as_result);
-            broken = error && error != http::error::need_buffer;
-        }
-        if (broken || answer.complete) {
-            break;
-        }
-        const auto left = limits.total_timeout - (monotonic_now() - started);
-        if (left <= duration::zero()) {
-            broken = true;
-            break;
-        }
-        auto next = co_await read_part(answer, std::min(limits.stall_timeout, left));
-        if (!next) {
-            broken = true;
-            break;
-        }
-        part = std::move(*next);
+    if (error && is_http_error(error)) {
+        co_await respond_to_malformed(client_session, error);
+        co_return;
+    }
+    if (error) {
+        link.on_disconnected();
+        co_return;
     }
-    client.stream.expires_never();
-    co_return !broken;
+    client_session->has_served = true;
+    if (link.reading_ended) {
+        co_return; // A response that closes the connection went out meanwhile; the client sends this one
+                   // again.
+    }
+    link.reading_ended = !parser.get().keep_alive();
+    auto to = std::make_shared<responder>(client_session->link);
+    asio::co_spawn(m_executor, respond(client_session, std::move(to), parser.release()), asio::detached);
 }
 
-auto wait_for_disconnect(server_connection& client) -> asio::awaitable<void> {
-    auto& socket = client.stream.socket();
-    while (true) {
-        const auto [error] = co_await socket.async_wait(asio::ip::tcp::socket::wait_read, as_result);
-        auto byte = char{};
-        const auto received = error ? -1 : ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
-            co_return;
+auto http_server::respond(std::shared_ptr<session> client_session, std::shared_ptr<responder> to,
+                          http_request request) -> asio::awaitable<void> {
+    const auto bytes = request.body().size();
+    const auto runs_alone = !is_safe(request.method());
+    client_session->bytes_in_progress += bytes;
+    client_session->runs_alone = client_session->runs_alone || runs_alone;
+    ++m_busy;
+    auto may_run = true;
+    if (runs_alone) {
+        may_run = co_await to->wait_turn();
+    }
+    auto keep_open = false;
+    auto failure = std::string{};
+    try {
+        if (may_run) {
+            keep_open = co_await m_handler(*to, std::move(request));
         }
-        if (received > 0) {
-            // The next request has already arrived, so the peer is still connected.
-            auto forever = asio::steady_timer{socket.get_executor(), asio::steady_timer::time_point::max()};
-            co_await forever.async_wait(as_result);
-            co_return;
+    } catch (const std::exception& error) {
+        failure = error.what();
+    }
+    if (!failure.empty()) {
+        log::error("request_handler_failed", {{"port", m_options.port}, {"error", failure}});
+        if (!to->has_responded() && !to->is_disconnected()) {
+            auto answer = http_response{http::status::internal_server_error, 11};
+            answer.prepare_payload();
+            keep_open = co_await write_answer(*to, std::move(answer));
         }
     }
+    --m_busy;
+    client_session->bytes_in_progress -= bytes;
+    client_session->runs_alone = client_session->runs_alone && !runs_alone;
+    client_session->idle_since = monotonic_now();
+    if (!keep_open || !to->has_responded()) {
+        client_session->link->close();
+    }
 }
 
-disconnect_watch::disconnect_watch(server_connection& client, std::function<void()> on_disconnect)
-    : m_client{client}, m_state{std::make_shared<state>()} {
-    m_state->on_disconnect = std::move(on_disconnect);
-    auto& socket = client.stream.socket();
-    socket.async_wait(
-        asio::ip::tcp::socket::wait_read, [&socket, state = m_state](const boost::system::error_code& error) {
-            if (state->cancelled || error == asio::error::operation_aborted) {
-                return;
-            }
-            auto byte = char{};
-            const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            if (received > 0 || (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) {
-                return; // The next request has already arrived, so the peer is still connected.
-            }
-            state->disconnected = true;
-            state->on_disconnect();
-        });
-}
-
-disconnect_watch::~disconnect_watch() {
-    m_state->cancelled = true;
-    auto ignored = boost::system::error_code{};
-    m_client.stream.socket().cancel(ignored);
+auto http_server::respond_to_malformed(std::shared_ptr<session> client_session,
+                                       boost::system::error_code error) -> asio::awaitable<void> {
+    client_session->link->reading_ended = true;
+    auto to = std::make_shared<responder>(client_session->link);
+    static_cast<void>(co_await write_answer(*to, error_answer(error, m_options.sets_outcome_header)));
 }
 
 auto json_answer(const http_request& request, http::status status, const std::string& body) -> http_response {
--- a/src/teaselcross/keeper/keeper_service.cpp
+++ b/src/teaselcross/keeper/keeper_service.cpp
@@ -104,7 +104,7 @@
     return found == m_gates.end() ? nullptr : found->second;
 }
 
-auto keeper_service::handle(server_connection& connection, http_request request) -> asio::awaitable<bool> {
+auto keeper_service::handle(responder& connection, http_request request) -> asio::awaitable<bool> {
     auto parsed = forwarded_request{};
     const auto refuse = [&](const request_refusal& refusal) {
         return write_answer(connection, refusal_answer(parsed.message, refusal));
@@ -129,12 +129,12 @@
     if (!parsed.gate->may_send(parsed.shard, monotonic_now())) {
         co_return co_await refuse(retry_elsewhere_refusal("not_granted"));
     }
-    const auto result = co_await (run_idempotent(connection, parsed) || wait_for_disconnect(connection));
+    const auto result = co_await (run_idempotent(connection, parsed) || connection.wait_for_disconnect());
     // If the entry disconnects, the request is cancelled and its connection to the target is closed.
     co_return result.index() == 0 && std::get<0>(result);
 }
 
-auto keeper_service::run_idempotent(server_connection& connection, forwarded_request& request)
+auto keeper_service::run_idempotent(responder& connection, forwarded_request& request)
     -> asio::awaitable<bool> {
     const auto arrived = monotonic_now();
     auto admitted = co_await request.gate->admit(request.shard, request.caller, request.deadline);
@@ -223,7 +223,7 @@
     co_return std::move(*answer);
 }
 
-auto keeper_service::run_operation(server_connection& connection, forwarded_request& request)
+auto keeper_service::run_operation(responder& connection, forwarded_request& request)
     -> asio::awaitable<bool> {
     auto& operations = request.gate->operations();
     const auto send_recorded_answer = [&] {
@@ -278,8 +278,8 @@
     co_return co_await write_answer(connection, refusal_answer(request.message, refusal));
 }
 
-auto keeper_service::run_new_operation(server_connection& connection, forwarded_request& request,
-                                       bool needs_intent) -> asio::awaitable<bool> {
+auto keeper_service::run_new_operation(responder& connection, forwarded_request& request, bool needs_intent)
+    -> asio::awaitable<bool> {
     auto& gate = *request.gate;
     auto& operations = gate.operations();
     const auto& id = request.operation;
--- a/src/teaselcross/keeper/keeper_service.h
+++ b/src/teaselcross/keeper/keeper_service.h
@@ -18,7 +18,7 @@
                    metrics& metrics_registry, std::string process, target_failure_handler on_target_failure);
 
     /// Handles one forwarded request. Returns whether the connection can be kept open.
-    auto handle(server_connection& connection, http_request request) -> boost::asio::awaitable<bool>;
+    auto handle(responder& connection, http_request request) -> boost::asio::awaitable<bool>;
 
     auto update_target(const keeper_view& view) -> void;
     auto close_target(const target_id& target) -> void;
@@ -33,11 +33,9 @@
     class slot_guard;
 
     auto find(const target_id& target) const -> std::shared_ptr<target_gate>;
-    auto run_idempotent(server_connection& connection, forwarded_request& request)
-        -> boost::asio::awaitable<bool>;
-    auto run_operation(server_connection& connection, forwarded_request& request)
-        -> boost::asio::awaitable<bool>;
-    auto run_new_operation(server_connection& connection, forwarded_request& request, bool needs_intent)
+    auto run_idempotent(responder& connection, forwarded_request& request) -> boost::asio::awaitable<bool>;
+    auto run_operation(responder& connection, forwarded_request& request) -> boost::asio::awaitable<bool>;
+    auto run_new_operation(responder& connection, forwarded_request& request, bool needs_intent)
         -> boost::asio::awaitable<bool>;
     auto send_to_target(forwarded_request& request)
         -> boost::asio::awaitable<tl::expected<open_answer, exchange_error>>;
--- a/src/teaselcross/operators/operator_api.cpp
+++ b/src/teaselcross/operators/operator_api.cpp
@@ -89,7 +89,7 @@
                 .port = node.options.ports.operators,
                 .header_limit = node.options.header_limit,
                 .body_limit = 4 * 1024 * 1024},
-               [this](server_connection& connection, http_request request) -> asio::awaitable<bool> {
+               [this](responder& connection, http_request request) -> asio::awaitable<bool> {
                    co_return co_await write_answer(connection, co_await handle(request));
                }} {}
 
--- a/tests/http/endless_answer_test.cpp
+++ b/tests/http/endless_answer_test.cpp
@@ -165,7 +165,8 @@
     auto server = asio::ip::tcp::acceptor{m_context, {asio::ip::address_v4::loopback(), 0}};
     auto caller = asio::ip::tcp::socket{m_context};
     caller.connect(server.local_endpoint());
-    auto link = server_connection{.stream = boost::beast::tcp_stream{server.accept()}};
+    const auto link = std::make_shared<client_link>(server.accept());
+    auto to = responder{link};
     asio::co_spawn(
         m_context,
         [&]() -> asio::awaitable<void> {
@@ -178,10 +179,10 @@
             auto answer = co_await begin_exchange(m_pool, std::move(address), std::move(request), limits);
             if (answer) {
                 static_cast<void>(co_await stream_answer(
-                    link, *answer, {.stall_timeout = exchange_timeout, .total_timeout = exchange_timeout}));
+                    to, *answer, {.stall_timeout = exchange_timeout, .total_timeout = exchange_timeout}));
                 abort_exchange(*answer);
             }
-            link.stream.close();
+            link->close();
             is_done = true;
         },
         asio::detached);
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -54,7 +54,7 @@
 store::store(asio::io_context& context, endpoint address, std::uint64_t seed)
     : m_context{context}, m_server{context.get_executor(),
                                    {.host = address.host, .port = address.port},
-                                   [this](server_connection& from, http_request request) {
+                                   [this](responder& from, http_request request) {
                                        return handle(from, std::move(request));
                                    }},
       m_random{seed} {}
@@ -95,7 +95,7 @@
     }
 }
 
-auto store::handle(server_connection& from, http_request request) -> asio::awaitable<bool> {
+auto store::handle(responder& from, http_request request) -> asio::awaitable<bool> {
     const auto mode = m_faults.mode;
     while (m_faults.mode == store_mode::silent && mode == store_mode::silent) {
         co_await pause(watch_poll * 10);
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -44,7 +44,7 @@
     };
     struct call;
 
-    auto handle(server_connection& from, http_request request) -> boost::asio::awaitable<bool>;
+    auto handle(responder& from, http_request request) -> boost::asio::awaitable<bool>;
     auto read(const http_request& request, const call& asked) -> http_response;
     auto list(const http_request& request, const call& asked) -> http_response;
     auto watch(const http_request& request, const call& asked) -> boost::asio::awaitable<http_response>;
--- a/tests/soak/targets.cpp
+++ b/tests/soak/targets.cpp
@@ -60,7 +60,7 @@
     m_server = std::make_unique<http_server>(
         m_group.context().get_executor(),
         server_options{.host = m_options.own.host, .port = m_options.own.port, .sets_outcome_header = false},
-        [this](server_connection& from, http_request request) { return handle(from, std::move(request)); });
+        [this](responder& from, http_request request) { return handle(from, std::move(request)); });
     m_server->start();
     announce();
 }
@@ -112,7 +112,7 @@
     return answer;
 }
 
-auto target::handle(server_connection& from, http_request request) -> asio::awaitable<bool> {
+auto target::handle(responder& from, http_request request) -> asio::awaitable<bool> {
     if (!m_up) {
         co_return false;
     }
@@ -195,7 +195,7 @@
     co_return answer;
 }
 
-auto target::work(server_connection& from, const http_request& request) -> asio::awaitable<bool> {
+auto target::work(responder& from, const http_request& request) -> asio::awaitable<bool> {
     auto& seen = m_group.seen();
     const auto id = std::string{request[names::attempt_id]};
     const auto key = m_options.keyed ? key_of(request) : std::nullopt;
--- a/tests/soak/targets.h
+++ b/tests/soak/targets.h
@@ -56,10 +56,10 @@
         bool excused = false; ///< Came just after its sender thawed or its link healed: doesn't count.
     };
 
-    auto handle(server_connection& from, http_request request) -> boost::asio::awaitable<bool>;
+    auto handle(responder& from, http_request request) -> boost::asio::awaitable<bool>;
     auto take_grant(const http_request& request) -> http_response;
     auto release(const http_request& request) -> boost::asio::awaitable<http_response>;
-    auto work(server_connection& from, const http_request& request) -> boost::asio::awaitable<bool>;
+    auto work(responder& from, const http_request& request) -> boost::asio::awaitable<bool>;
     auto refusal(const http_request& request, boost::beast::http::status status) -> http_response;
     auto add_load(http_response& answer) -> void;
     auto drop_overlap(shard_key first, shard_key last, std::uint64_t most_fence) -> void;
