Heed targets that leave or ask for quiet, and answers that belong to nobody

Change: Server-Leaving in an answer marks the process (ID and start time) as leaving for ten minutes, whatever a later or older list says; the controller learns it with reports and tells the others. Retry-After with 503 keeps requests away for that time; callers are refused at once with the time left. A second send of an at-most-once request to the same target takes a new connection: a copy of the first refusal could have been taken for the second answer, and a request that ran called 'not run'. A refusal without an attempt ID is believed only on a connection that nothing else was sent on. Releases of keys take a connection of their own, as answers to orders carry no identity. The pool no longer discards connections that one exchange finds too old but others may use.

--- a/src/libteaselcross/admission/target_view.cpp
+++ b/src/libteaselcross/admission/target_view.cpp
@@ -22,7 +22,7 @@
 }
 
 auto may_get_request(const target_view& view, const choice_context& context, instant now) -> bool {
-    if (view.listed.leaving || now < view.avoid_until) {
+    if (view.listed.leaving || now < view.avoid_until || now < view.quiet_until) {
         return false;
     }
     return std::find(context.tried_targets.begin(), context.tried_targets.end(), view.listed.id) ==
--- a/src/libteaselcross/admission/target_view.h
+++ b/src/libteaselcross/admission/target_view.h
@@ -47,7 +47,9 @@
     instant reported_at{};
     std::uint32_t silent_sends = 0; ///< Consecutive sends without any answer.
     instant avoid_until{};          ///< End of the backoff; choose_view() skips the target before.
-    double error_rate = 0;          ///< Smoothed share of failed answers.
+    /// The target has asked this instance for no requests before this time.
+    instant quiet_until{};
+    double error_rate = 0; ///< Smoothed share of failed answers.
     instant cold_until{};
     double cold_credit = 0; ///< Tokens of the cold rate limit; one per send.
     instant cold_credit_updated{};
--- a/src/teaselcross/gateway/cluster_state.cpp
+++ b/src/teaselcross/gateway/cluster_state.cpp
@@ -12,6 +12,9 @@
 
 /// How long a removed target is kept, for requests that are still in flight to it.
 constexpr auto removed_target_retention = duration{std::chrono::seconds{3}};
+/// How long it is remembered that a target said that it is leaving: far longer than a drain takes, and longer
+/// than an old entry can reappear after an outage of the store.
+constexpr auto leaving_retention = duration{std::chrono::minutes{10}};
 
 auto is_new_incarnation(const known_target& known, const listed_target& listed) -> bool {
     return known.view.listed.start_time_ms != listed.start_time_ms || known.view.listed.host != listed.host ||
@@ -69,6 +72,13 @@
     known->listed = true;
     known->revision = revision;
     known->missing_until.reset();
+    const auto said = m_leaving.find(listed.id);
+    if (said != m_leaving.end() && said->second.first == listed.start_time_ms) {
+        known->view.listed.leaving = true;
+        known->leaving_since = known->leaving_since.value_or(said->second.second);
+        notify_change();
+        return;
+    }
     if (listed.leaving && !known->leaving_since) {
         log::info("target_leaving", {{"target", listed.id}, {"service", listed.service}, {"fresh", is_new}});
         // A target that is already leaving when first seen may have started to leave long ago, so its drain
@@ -80,6 +90,37 @@
     notify_change();
 }
 
+auto cluster_state::set_leaving(const leaving_notice& notice, std::string_view source, instant now) -> void {
+    const auto said = m_leaving.find(notice.target);
+    if (said != m_leaving.end() && said->second.first >= notice.start_time_ms) {
+        return;
+    }
+    m_leaving[notice.target] = {notice.start_time_ms, now};
+    const auto found = m_targets.find(notice.target);
+    const auto is_known =
+        found != m_targets.end() && found->second->view.listed.start_time_ms == notice.start_time_ms;
+    log::info("target_leaving", {{"target", notice.target},
+                                 {"birth", notice.start_time_ms},
+                                 {"source", source},
+                                 {"known", is_known}});
+    if (is_known) {
+        auto& known = *found->second;
+        known.view.listed.leaving = true;
+        known.leaving_since = known.leaving_since.value_or(now);
+        notify_change();
+    }
+}
+
+auto cluster_state::leaving_notices() const -> std::vector<leaving_notice> {
+    auto notices = std::vector<leaving_notice>{};
+    for (const auto& [id, said] : m_leaving) {
+        if (m_targets.contains(id)) {
+            notices.push_back({.target = id, .start_time_ms = said.first});
+        }
+    }
+    return notices;
+}
+
 auto cluster_state::remove_target(const target_id& id, std::optional<duration> grace, instant now) -> void {
     const auto found = m_targets.find(id);
     if (found == m_targets.end() || !found->second->listed) {
@@ -111,9 +152,12 @@
         m_targets.at(id)->missing_until.reset();
         remove_target(id, std::nullopt, now);
     }
+    std::erase_if(m_leaving,
+                  [now](const auto& entry) { return now - entry.second.second > leaving_retention; });
     const auto erased = std::erase_if(m_targets, [now](const auto& entry) {
         const auto& known = *entry.second;
-        return !known.listed && now - known.leaving_since.value_or(now) > removed_target_retention;
+        return !known.listed && now >= known.view.quiet_until &&
+               now - known.leaving_since.value_or(now) > removed_target_retention;
     });
     if (erased > 0) {
         m_candidates_valid = false;
--- a/src/teaselcross/gateway/cluster_state.h
+++ b/src/teaselcross/gateway/cluster_state.h
@@ -35,6 +35,14 @@
     std::uint64_t revision = 0; ///< Revision of the target's entry in the store.
 };
 
+/// A target that said itself that it is leaving, in an answer to a request.
+struct leaving_notice {
+    target_id target;
+    std::uint64_t start_time_ms = 0; ///< Of the process that is leaving; a later process is not.
+
+    auto operator==(const leaving_notice&) const -> bool = default;
+};
+
 /// The cluster as known to this instance. Not thread safe: use it on the event loop's thread only.
 class cluster_state {
 public:
@@ -52,6 +60,12 @@
     /// Removes targets whose grace period is over, and discards those that were removed some time ago.
     auto remove_expired(instant now) -> void;
 
+    /// Records that a target said that it is leaving. That holds for its process, whatever the list says
+    /// afterwards. @a source is for the log.
+    auto set_leaving(const leaving_notice& notice, std::string_view source, instant now) -> void;
+    /// The targets that said that they are leaving and are still known, for other instances.
+    auto leaving_notices() const -> std::vector<leaving_notice>;
+
     auto target(const target_id& id) const -> std::shared_ptr<known_target>;
     auto targets() const -> const std::map<target_id, std::shared_ptr<known_target>>& { return m_targets; }
     /// Targets of @a service that may get requests without a key: not leaving and not in a data centre that
@@ -94,6 +108,8 @@
     std::map<target_id, std::shared_ptr<known_target>> m_targets;
     std::map<service_id, std::vector<target_view*>> m_candidates;
     bool m_candidates_valid = false;
+    /// Targets that said that they are leaving, with the start of their process and since when it is known.
+    std::map<target_id, std::pair<std::uint64_t, instant>> m_leaving;
     std::map<data_centre_id, instant> m_out_of_service;
     std::map<service_id, std::shared_ptr<const key_map>> m_keys;
     std::vector<instance_record> m_instances;
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -1,5 +1,6 @@
 #include "gateway/controller.h"
 
+#include "gateway/leaving_messages.h"
 #include "logging/log.h"
 #include "platform/messages.h"
 #include "platform/store.h"
@@ -114,6 +115,7 @@
         const auto answer_fields = json::parse(answer->body());
         m_last_confirmation = {
             .asked_at = asked_at, .received_at = now, .copies = copy_states_from_json(answer_fields)};
+        apply_leaving(answer_fields, now);
         if (answer_fields.at("leads").get<bool>()) {
             // Otherwise the store does not answer the controller, and another instance should take over.
             m_last_holder_answer = now;
@@ -441,6 +443,7 @@
     }
     auto answer = to_json(m_copy_source ? m_copy_source() : copy_states{});
     answer["leads"] = holds_lease(m_lease, monotonic_now());
+    answer["leaving"] = to_json(m_cluster.leaving_notices());
     return answer.dump();
 }
 
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -131,6 +131,7 @@
     auto renew_lease() -> boost::asio::awaitable<void>;
     auto send_report() -> boost::asio::awaitable<void>;
     auto apply_report(const nlohmann::json& report, instant now) -> void;
+    auto apply_leaving(const nlohmann::json& document, instant now) -> void;
     auto make_report() -> nlohmann::json;
 
     const gateway_settings& m_settings;
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -2,7 +2,7 @@
 // reports.
 
 #include "gateway/controller.h"
-
+#include "gateway/leaving_messages.h"
 #include "logging/log.h"
 #include "platform/messages.h"
 #include "platform/store.h"
@@ -30,6 +30,14 @@
 
 } // namespace
 
+/// Applies what another instance was told by targets that are leaving.
+auto controller::apply_leaving(const json& document, instant now) -> void {
+    const auto notices = document.value("leaving", json::array()); // Earlier builds send none.
+    for (const auto& notice : leaving_notices_from_json(notices)) {
+        m_cluster.set_leaving(notice, "instance", now);
+    }
+}
+
 auto controller::make_grant_options() const -> range_grantor_options {
     auto options = range_grantor_options{};
     options.grant_term = std::min(options.grant_term, m_settings.max_grant_hold);
@@ -163,7 +171,10 @@
     if (target != nullptr) {
         auto peer = endpoint{.host = target->view.listed.host, .port = target->view.listed.port};
         const auto request = platform::make_order(order, peer.host);
-        auto opened = co_await open_exchange(m_order_pool, std::move(peer), duration::max());
+        // Answers to orders carry no identity. A second copy of an earlier answer must not be taken for the
+        // proof that a target has released keys, so a release uses a connection of its own.
+        const auto max_idle = order.kind == command_kind::release ? duration::zero() : duration::max();
+        auto opened = co_await open_exchange(m_order_pool, std::move(peer), max_idle);
         // Connecting may have taken long, and the term or the right to send orders may have ended meanwhile.
         sent = monotonic_now();
         if (opened && m_term == term && may_send_orders(sent)) {
@@ -173,7 +184,9 @@
                 co_await receive_answer(*opened, false, read_limits)) {
                 auto response = http_response{opened->header()};
                 result = platform::read_order_answer(order, response, handover);
-                end_exchange(m_order_pool, std::move(*opened));
+                if (order.kind == command_kind::grant) {
+                    end_exchange(m_order_pool, std::move(*opened));
+                }
             } else {
                 abort_exchange(*opened);
             }
@@ -243,7 +256,10 @@
             speeds[id.value()] = static_cast<std::int64_t>(known->view.service_us);
         }
     }
-    return {{"from", m_settings.instance}, {"keys", std::move(keys)}, {"speeds", std::move(speeds)}};
+    return {{"from", m_settings.instance},
+            {"keys", std::move(keys)},
+            {"speeds", std::move(speeds)},
+            {"leaving", to_json(m_cluster.leaving_notices())}};
 }
 
 auto controller::apply_report(const json& report, instant now) -> void {
@@ -256,6 +272,7 @@
             }
         }
     }
+    apply_leaving(report, now);
     for (const auto& [target, service_us] : report.at("speeds").items()) {
         auto& speed = m_target_speeds[target_id{target}].service_us;
         const auto sample = service_us.get<double>();
--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -38,7 +38,8 @@
     instant objective{}; ///< Time by which the request should be answered.
     std::uint32_t sends = 0;
     bool may_have_run = false;
-    std::vector<target_id> tried;
+    std::vector<target_id> tried;   ///< Targets that are not chosen again.
+    std::vector<target_id> sent_to; ///< Targets that a connection was open to, once for each send.
     open_answer answer;
     platform::target_answer target_answer_fields;
     bool has_answer = false;
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -51,6 +51,7 @@
     if (current.target_answer_fields.load && end != attempt_result::not_sent) {
         on_report(view, *current.target_answer_fields.load, now);
     }
+    record_requests_of_target(current, view, end, now);
     auto result = send_result::answered;
     switch (end) {
     case attempt_result::answered:
@@ -92,14 +93,46 @@
     co_return end;
 }
 
+/// How long a connection may have been idle that a request which must run at most once is sent on. A second
+/// send to the same target needs a new connection: on the old one a copy of the first refusal may still
+/// arrive and would be taken for the answer to the second send.
+auto request_router::max_idle_at_most_once(const request_context& current, const target_id& target)
+    -> duration {
+    const auto& sent_to = current.sent_to;
+    const auto is_second_send = std::find(sent_to.begin(), sent_to.end(), target) != sent_to.end();
+    return is_second_send ? duration::zero() : at_most_once_idle_limit;
+}
+
+/// Records what the target's answer asks of this instance: to send nothing more because it is leaving, or
+/// nothing for some time.
+auto request_router::record_requests_of_target(const request_context& current, target_view& view,
+                                               attempt_result end, instant now) -> void {
+    const auto& fields = current.target_answer_fields;
+    if (end == attempt_result::misdirected) {
+        return; // Another target has answered.
+    }
+    if (fields.is_leaving) {
+        m_cluster.set_leaving({.target = view.listed.id, .start_time_ms = view.listed.start_time_ms},
+                              "answer", now);
+    }
+    if (fields.quiet_for) {
+        view.quiet_until = std::max(view.quiet_until, now + *fields.quiet_for);
+        m_measured.count(counter::quiet_requests);
+        log::info("target_asks_for_quiet", {{"id", current.caller.attempt_id},
+                                            {"target", view.listed.id},
+                                            {"for_ms", fields.quiet_for->count() / 1000},
+                                            {"in_flight", view.in_flight}});
+    }
+}
+
 auto request_router::exchange(request_context& current, const known_target& target,
                               const http_request& request, instant until) -> asio::awaitable<attempt_result> {
     const auto& listed = target.view.listed;
     const auto is_at_most_once = current.rule->kind == request_kind::at_most_once;
-    const auto freshness = is_at_most_once ? at_most_once_idle_limit : duration::max();
+    const auto max_idle = is_at_most_once ? max_idle_at_most_once(current, listed.id) : duration::max();
     current.target_answer_fields = {};
     auto peer = endpoint{.host = listed.host, .port = listed.port};
-    auto opened = co_await open_exchange(m_pool, std::move(peer), freshness);
+    auto opened = co_await open_exchange(m_pool, std::move(peer), max_idle);
     if (!opened) {
         co_return attempt_result::not_sent;
     }
@@ -108,6 +141,7 @@
         co_return attempt_result::withdrawn;
     }
     current.active_exchange = &current.answer;
+    current.sent_to.push_back(listed.id);
     ++current.sends;
     auto received = co_await send_request(current.answer, request, until - monotonic_now());
     auto unrelated_answers = 0;
@@ -122,8 +156,17 @@
             break;
         }
         current.target_answer_fields = platform::read_target_answer(current.answer);
-        if (current.target_answer_fields.attempt_id.empty() ||
-            current.target_answer_fields.attempt_id == current.caller.attempt_id) {
+        const auto& answered_id = current.target_answer_fields.attempt_id;
+        if (answered_id == current.caller.attempt_id) {
+            break;
+        }
+        if (answered_id.empty()) {
+            // On a connection that was used before it may be a copy of an earlier answer.
+            received = !current.answer.client_connection->was_used;
+            log::info("answer_without_id", {{"id", current.caller.attempt_id},
+                                            {"target", listed.id},
+                                            {"status", current.answer.status()},
+                                            {"accepted", received}});
             break;
         }
         // A late second answer to an earlier request; the next answer may be the right one.
@@ -171,7 +214,7 @@
     return status >= 500 ? attempt_result::failed : attempt_result::answered;
 }
 
-auto request_router::send_answer(server_connection& link, request_context& current) -> asio::awaitable<bool> {
+auto request_router::send_answer(responder& link, request_context& current) -> asio::awaitable<bool> {
     auto& answer = current.answer;
     platform::make_caller_answer(answer);
     const auto status = answer.status();
@@ -216,7 +259,7 @@
     mean += (static_cast<double>(bytes) - mean) * smoothing;
 }
 
-auto request_router::refuse(server_connection& link, request_context& current, refusal reason)
+auto request_router::refuse(responder& link, request_context& current, refusal reason)
     -> asio::awaitable<bool> {
     const auto now = monotonic_now();
     auto status = http::status::service_unavailable;
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -42,6 +42,19 @@
     return load && load->waiting == 0 && load->running < load->slots;
 }
 
+/// The time until the first of @a targets accepts requests again; nothing if one does not ask for quiet.
+auto time_until_quiet_ends(const std::vector<target_view*>& targets, instant now) -> std::optional<duration> {
+    auto shortest = std::optional<duration>{};
+    for (const auto* view : targets) {
+        if (now >= view->quiet_until) {
+            return std::nullopt;
+        }
+        const auto left = view->quiet_until - now;
+        shortest = shortest ? std::min(*shortest, left) : left;
+    }
+    return shortest;
+}
+
 } // namespace
 
 struct request_router::target_choice {
@@ -61,12 +74,19 @@
                                                         .idle_per_peer = 8,
                                                         .reset_on_close = true}} {}
 
-auto request_router::handle(server_connection& link, http_request request) -> asio::awaitable<bool> {
+auto request_router::handle(responder& link, http_request request) -> asio::awaitable<bool> {
     auto current = request_context{};
     m_measured.count(counter::requests);
     if (const auto reason = start_request(current, request)) {
         co_return co_await refuse(link, current, *reason);
     }
+    if (current.rule->kind == request_kind::at_most_once) {
+        // Behind a response that closes the connection it counts as not read, and its caller sends it again.
+        const auto is_turn = co_await link.wait_turn();
+        if (!is_turn) {
+            co_return false;
+        }
+    }
     auto reason = std::optional<refusal>{};
     {
         const auto watch = disconnect_watch{link, [&current] {
@@ -233,8 +253,12 @@
     reduce_to_subset(open, m_own_hash, subset_size(rate, {}), context, {});
     auto* best = choose_view(open, context, m_random(), now);
     if (best == nullptr) {
-        const auto reason = candidates.empty() ? refusal::no_target : refusal::overload;
-        return {.reason = reason, .should_wait = candidates.empty(), .retry_after = owner_change_timeout};
+        if (candidates.empty()) {
+            return {.reason = refusal::no_target, .should_wait = true, .retry_after = owner_change_timeout};
+        }
+        const auto quiet = time_until_quiet_ends(open, now);
+        return {.reason = quiet ? refusal::quiet : refusal::overload,
+                .retry_after = quiet.value_or(owner_change_timeout)};
     }
     if (const auto reason = check_send(current, *best, now)) {
         return {.reason = reason, .retry_after = current.retry_after};
@@ -246,6 +270,10 @@
 /// cold. Returns the reason if not.
 auto request_router::check_send(request_context& current, target_view& view, instant now)
     -> std::optional<refusal> {
+    if (now < view.quiet_until) {
+        current.retry_after = std::max(min_retry_after, view.quiet_until - now);
+        return refusal::quiet;
+    }
     // A caller that was refused before gives up after a second refusal, so it may be served after the
     // objective, up to its deadline, rather than refused.
     const auto objective = current.was_refused_before ? current.deadline : current.objective;
@@ -276,7 +304,8 @@
     const auto keyed = current.policy.keyed && current.caller.key;
     if (keyed && end == attempt_result::shed) {
         // A key has no other target, and a full target usually stays full for longer than the caller waits.
-        return reports_free_slot(current.target_answer_fields.load) && current.sends < max_sends_to_owner &&
+        return reports_free_slot(current.target_answer_fields.load) &&
+               !current.target_answer_fields.quiet_for && current.sends < max_sends_to_owner &&
                take_extra(m_budgets[current.service], budget_options(), m_cluster.fleet_size(), now);
     }
     constexpr auto max_targets = 4U; // Per request, including targets that could not be reached.
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -27,13 +27,14 @@
     no_owner,       ///< The key currently has no owner.
     overload,       ///< It could not be answered in time.
     cold,           ///< Its target is cold and already has its share of requests.
+    quiet,          ///< Its target has asked for no requests for some time.
     out_of_time,    ///< The deadline passed before it was sent.
     target_failed,  ///< It was sent, and its outcome is unknown.
     answer_timeout, ///< It was sent, and no answer came before the deadline.
 };
-constexpr enum_table<refusal, 9> refusal_names{"no_config",   "no_route",      "no_target",
-                                               "no_owner",    "overload",      "cold",
-                                               "out_of_time", "target_failed", "answer_timeout"};
+constexpr enum_table<refusal, 10> refusal_names{"no_config",     "no_route",      "no_target", "no_owner",
+                                                "overload",      "cold",          "quiet",     "out_of_time",
+                                                "target_failed", "answer_timeout"};
 
 class request_router {
 public:
@@ -41,7 +42,7 @@
                    boost::asio::any_io_executor executor);
 
     /// Handles one request; to be passed to http_server as its handler.
-    auto handle(server_connection& link, http_request request) -> boost::asio::awaitable<bool>;
+    auto handle(responder& link, http_request request) -> boost::asio::awaitable<bool>;
 
     /// Returns the requests counted since the last call.
     auto take_sample() -> traffic_sample { return std::exchange(m_sample, {}); }
@@ -63,12 +64,14 @@
                  const http_request& request, duration limit) -> boost::asio::awaitable<attempt_result>;
     auto exchange(request_context& current, const known_target& target, const http_request& request,
                   instant until) -> boost::asio::awaitable<attempt_result>;
+    static auto max_idle_at_most_once(const request_context& current, const target_id& target) -> duration;
+    auto record_requests_of_target(const request_context& current, target_view& view, attempt_result end,
+                                   instant now) -> void;
     auto classify_answer(request_context& current) -> attempt_result;
     auto may_retry(request_context& current, attempt_result end, instant now) -> bool;
     auto record_answer_size(const std::string& rule, std::size_t bytes) -> void;
-    auto send_answer(server_connection& link, request_context& current) -> boost::asio::awaitable<bool>;
-    auto refuse(server_connection& link, request_context& current, refusal reason)
-        -> boost::asio::awaitable<bool>;
+    auto send_answer(responder& link, request_context& current) -> boost::asio::awaitable<bool>;
+    auto refuse(responder& link, request_context& current, refusal reason) -> boost::asio::awaitable<bool>;
 
     const gateway_settings& m_settings;
     cluster_state& m_cluster;
--- a/src/teaselcross/http/connection_pool.cpp
+++ b/src/teaselcross/http/connection_pool.cpp
@@ -73,6 +73,7 @@
     auto& idle = m_idle[used->peer];
     if (idle.size() < m_options.idle_per_peer && used->buffer.size() == 0) {
         used->last_used = monotonic_now();
+        used->was_used = true;
         used->stream.expires_never();
         idle.push_back(std::move(used));
     }
@@ -91,9 +92,12 @@
     const auto now = monotonic_now();
     while (!idle.empty()) {
         // The most recently used connection is the least likely to be dead.
+        if (now - idle.back()->last_used >= max_idle) {
+            return nullptr; // Other exchanges may still use it.
+        }
         auto candidate = std::move(idle.back());
         idle.pop_back();
-        const auto limit = std::min({m_options.idle_limit, candidate->idle_limit, max_idle});
+        const auto limit = std::min(m_options.idle_limit, candidate->idle_limit);
         if (now - candidate->last_used < limit && !is_stale(candidate->stream.socket())) {
             return candidate;
         }
--- a/src/teaselcross/http/connection_pool.h
+++ b/src/teaselcross/http/connection_pool.h
@@ -36,6 +36,7 @@
     endpoint peer;
     instant last_used{};
     duration idle_limit = duration::max(); ///< Idle timeout that the peer announced.
+    bool was_used = false; ///< An earlier exchange used it, so what arrives may belong to that one.
 };
 
 /// Why no connection could be acquired.
@@ -58,7 +59,7 @@
         : m_executor{std::move(executor)}, m_options{options} {}
 
     /// Returns an idle connection to @a peer that was used within @a max_idle and that the peer has not
-    /// closed, or opens a new one.
+    /// closed, or opens a new one. Opens a new one in any case if @a max_idle is zero.
     auto acquire(endpoint peer, duration max_idle = duration::max())
         -> boost::asio::awaitable<tl::expected<std::unique_ptr<connection>, connect_error>>;
 
--- a/src/teaselcross/metrics/metrics.h
+++ b/src/teaselcross/metrics/metrics.h
@@ -38,8 +38,9 @@
     grants_unanswered,
     ranges_moved,
     sends_to_data_centres_out,
+    quiet_requests,
 };
-constexpr enum_table<counter, 22> counter_names{"requests_total",
+constexpr enum_table<counter, 23> counter_names{"requests_total",
                                                 "answered_total",
                                                 "refused_not_run_total",
                                                 "outcome_unknown_total",
@@ -60,7 +61,8 @@
                                                 "grants_made_total",
                                                 "grants_unanswered_total",
                                                 "ranges_moved_total",
-                                                "sends_to_data_centres_out_total"};
+                                                "sends_to_data_centres_out_total",
+                                                "quiet_requests_total"};
 
 /// The operation whose latency is recorded.
 enum class timing { request, keeper_queue, target };
