Read the store through few instances, and key maps from their writer

Change: only instances that follow the store themselves probe it; the others learn of an outage, and how long missing entries must be kept, from the instance through which they read. Relays follow the writer of the key maps and go back to the store when it does not answer; a relay passes on the differences that it received, in order, so a lagging follower needs no whole map. The list of instances (all pages of it; before, only the first) is followed like the other kinds. A process that restarts writes its record without creating it first. A relay that is starting is waited for. A comparison request whose kind is not a string no longer throws.

--- a/src/teaselcross/gateway/cluster_state.cpp
+++ b/src/teaselcross/gateway/cluster_state.cpp
@@ -240,16 +240,39 @@
     m_change.notify();
 }
 
-auto cluster_state::rank_instances(std::string_view purpose) const -> std::vector<instance_record> {
-    auto sorted = m_instances;
-    const auto item = hash_text(purpose);
-    std::sort(sorted.begin(), sorted.end(), [item](const auto& left, const auto& right) {
-        if (left.cpu_share != right.cpu_share) {
-            return left.cpu_share > right.cpu_share;
-        }
-        return rendezvous_weight(item, left.name) > rendezvous_weight(item, right.name);
-    });
-    return sorted;
+instance_ranking::instance_ranking(std::string_view purpose) : m_item{hash_text(purpose)} {}
+
+auto instance_ranking::operator()(const instance_record& left, const instance_record& right) const -> bool {
+    if (left.cpu_share != right.cpu_share) {
+        return left.cpu_share > right.cpu_share;
+    }
+    return rendezvous_weight(m_item, left.name) > rendezvous_weight(m_item, right.name);
+}
+
+auto cluster_state::put_instance(instance_record instance) -> void {
+    const auto found = std::find_if(m_instances.begin(), m_instances.end(),
+                                    [&](const auto& each) { return each.name == instance.name; });
+    if (found == m_instances.end()) {
+        m_instances.push_back(std::move(instance));
+    } else {
+        *found = std::move(instance);
+    }
+}
+
+auto cluster_state::remove_instance(const std::string& name) -> void {
+    std::erase_if(m_instances, [&name](const auto& each) { return each.name == name; });
+}
+
+auto cluster_state::rank_of_this_instance(std::string_view purpose) const -> std::size_t {
+    const auto own = std::find_if(m_instances.begin(), m_instances.end(),
+                                  [this](const auto& each) { return each.name == m_settings.instance; });
+    if (own == m_instances.end()) {
+        return m_instances.size();
+    }
+    const auto ranking = instance_ranking{purpose};
+    return static_cast<std::size_t>(
+        std::count_if(m_instances.begin(), m_instances.end(),
+                      [&](const auto& each) { return ranking(each, *own); }));
 }
 
 auto cluster_state::fleet_size() const -> std::size_t {
--- a/src/teaselcross/gateway/cluster_state.h
+++ b/src/teaselcross/gateway/cluster_state.h
@@ -24,6 +24,18 @@
     std::uint64_t start_time_ms = 0; ///< Start time of its process in milliseconds since the Unix epoch.
 };
 
+/// Orders instances by preference for work on behalf of others: by CPU capacity, and among equals in an order
+/// that differs by purpose.
+class instance_ranking {
+public:
+    explicit instance_ranking(std::string_view purpose);
+    /// Whether @a left is preferred.
+    auto operator()(const instance_record& left, const instance_record& right) const -> bool;
+
+private:
+    std::uint64_t m_item;
+};
+
 /// A target with what the gateway records about it besides its load.
 struct known_target {
     target_view view;
@@ -91,9 +103,11 @@
 
     auto instances() const -> const std::vector<instance_record>& { return m_instances; }
     auto set_instances(std::vector<instance_record> instances) -> void { m_instances = std::move(instances); }
-    /// The instances in order of preference for work on behalf of others: by CPU capacity, and among equals
-    /// in an order that differs by @a purpose.
-    auto rank_instances(std::string_view purpose) const -> std::vector<instance_record>;
+    /// Adds or replaces one instance.
+    auto put_instance(instance_record instance) -> void;
+    auto remove_instance(const std::string& name) -> void;
+    /// Number of instances that are preferred to this one for @a purpose.
+    auto rank_of_this_instance(std::string_view purpose) const -> std::size_t;
     /// Number of instances that share the limits, this one included; never 0.
     auto fleet_size() const -> std::size_t;
     /// The rate at which this instance may send to the cold target @a id; @a rate is what its service
--- a/src/teaselcross/gateway/cluster_state_feed.cpp
+++ b/src/teaselcross/gateway/cluster_state_feed.cpp
@@ -1,5 +1,6 @@
 #include "gateway/cluster_state_feed.h"
 
+#include "gateway/peers.h"
 #include "logging/log.h"
 #include "platform/records.h"
 #include "platform/store.h"
@@ -15,17 +16,6 @@
                                        const store_access& store)
     : m_settings{settings}, m_cluster{cluster}, m_store{store} {}
 
-auto cluster_state_feed::outage_grace() const -> std::optional<duration> {
-    const auto now = monotonic_now();
-    const auto grace_end = m_store.healthy_since() + m_settings.outage_grace;
-    // Entries also expire while the store is unavailable; targets that are still running register again soon
-    // after the store recovers.
-    if (m_store.outage_count() == 0 || (m_store.is_healthy() && now >= grace_end)) {
-        return std::nullopt;
-    }
-    return m_store.is_healthy() ? grace_end - now : m_settings.outage_grace;
-}
-
 auto cluster_state_feed::apply_target(const store_object& object) -> void {
     const auto name = object.key.substr(object.key.find('/') + 1);
     const auto now = monotonic_now();
@@ -41,7 +31,9 @@
         log::warning("target_entry_unusable", {{"target", name}, {"fault", parsed.error()}});
     }
     if (object.removed) {
-        m_cluster.remove_target(target_id{name}, outage_grace(), now);
+        const auto grace = m_store.outage_grace();
+        m_cluster.remove_target(target_id{name},
+                                grace > duration::zero() ? std::optional{grace} : std::nullopt, now);
     }
 }
 
@@ -119,6 +111,16 @@
             .patched_object = [this](const std::string& key) { return stored_key_map(key); }};
 }
 
+auto cluster_state_feed::instance_events() -> follower_events {
+    return {.changed = [this](const store_object& object, instant /*not_before*/) {
+        if (object.removed) {
+            m_cluster.remove_instance(object.key.substr(object.key.find('/') + 1));
+        } else if (auto record = parse_instance_record(object)) {
+            m_cluster.put_instance(std::move(*record));
+        }
+    }};
+}
+
 /// The object of the store that holds a key map.
 auto cluster_state_feed::stored_key_map(const std::string& key) const -> std::optional<store_object> {
     const auto map = m_cluster.keys(service_id{key.substr(key.find('/') + 1)});
--- a/src/teaselcross/gateway/cluster_state_feed.h
+++ b/src/teaselcross/gateway/cluster_state_feed.h
@@ -28,6 +28,7 @@
     auto route_events() -> follower_events;
     auto out_of_service_events() -> follower_events;
     auto key_map_events() -> follower_events;
+    auto instance_events() -> follower_events;
 
 private:
     auto apply_target(const store_object& object) -> void;
@@ -35,7 +36,6 @@
     auto apply_key_map(const store_object& object) -> void;
     auto apply_key_map_changes(const store_object& object, std::uint64_t base) -> bool;
     auto stored_key_map(const std::string& key) const -> std::optional<store_object>;
-    auto outage_grace() const -> std::optional<duration>;
 
     const gateway_settings& m_settings;
     cluster_state& m_cluster;
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -23,7 +23,9 @@
 
 constexpr auto peer_timeout = duration{std::chrono::milliseconds{400}};
 /// Number of instances that campaign for a free lease at once; the others defer to them for one lease term.
-constexpr auto max_active_candidates = std::ptrdiff_t{3};
+constexpr auto max_active_candidates = std::size_t{3};
+/// The other instances read the lease in this many groups, one after the other.
+constexpr auto deferral_steps = std::size_t{8};
 constexpr auto max_peer_body_bytes = std::size_t{256} * 1024;
 
 auto instance_name(const instance_id& holder) -> std::string {
@@ -84,18 +86,32 @@
     }
 }
 
-auto controller::holder_address() const -> std::optional<endpoint> {
+auto controller::holder() const -> std::optional<instance_record> {
     if (!m_lease.last_known || m_lease.last_known->holder.empty()) {
         return std::nullopt;
     }
     for (const auto& each : m_cluster.instances()) {
         if (each.name == instance_name(m_lease.last_known->holder)) {
-            return each.internal;
+            return each;
         }
     }
     return std::nullopt;
 }
 
+auto controller::holder_address() const -> std::optional<endpoint> {
+    const auto found = holder();
+    return found ? std::optional{found->internal} : std::nullopt;
+}
+
+auto controller::key_map_writer() const -> std::optional<instance_record> {
+    const auto found = holder();
+    if (found && found->name == m_settings.instance) {
+        return m_is_controller && holds_lease(m_lease, monotonic_now()) ? found : std::nullopt;
+    }
+    const auto answers = monotonic_now() - m_last_holder_answer < m_options.holder_timeout;
+    return answers ? found : std::nullopt;
+}
+
 auto controller::send_report() -> asio::awaitable<void> {
     const auto address = holder_address();
     if (!address || m_lease.last_known->holder == m_lease.self) {
@@ -167,19 +183,21 @@
     const auto known_holder =
         m_lease.last_known && !m_lease.last_known->holder.empty() && m_last_holder_answer != instant{};
     if ((holder_answers && known_holder) || m_cluster.routes()->version == 0) {
+        m_without_holder_since = monotonic_now();
         co_return;
     }
-    if (!co_await read_lease()) {
+    // The first candidates read the lease at once; a new holder announces itself to all others, which read it
+    // only when that takes too long.
+    const auto rank = m_cluster.rank_of_this_instance("controller");
+    const auto deferral = m_options.lease.term * 2 + m_options.report_interval * (rank % deferral_steps);
+    if (rank >= max_active_candidates && monotonic_now() - m_without_holder_since < deferral) {
         co_return;
     }
-    const auto before = m_lease.last_known;
-    auto rank = std::ptrdiff_t{0};
-    for (const auto& each : m_cluster.rank_instances("controller")) {
-        if (each.name == m_settings.instance) {
-            break;
-        }
-        ++rank;
+    const auto was_read = co_await read_lease();
+    if (!was_read) {
+        co_return;
     }
+    const auto before = m_lease.last_known;
     const auto was_this_instance = before && instance_name(before->holder) == m_settings.instance;
     const auto write = next_lease_write(m_lease, rank < max_active_candidates,
                                         m_holder_refused_connection || was_this_instance, monotonic_now());
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -9,6 +9,7 @@
 #include "gateway/request_router.h"
 #include "gateway/store_access.h"
 #include "ownership/lease.h"
+#include "runtime/clock.h"
 
 #include <array>
 #include <set>
@@ -75,6 +76,15 @@
     auto on_controller_announcement(const std::string& body) -> std::string;
 
     auto is_controller() const -> bool { return m_is_controller; }
+    /// The lease holder, if known.
+    auto holder() const -> std::optional<instance_record>;
+    /// The instance that writes the key maps: the lease holder while it is known to hold the lease.
+    auto key_map_writer() const -> std::optional<instance_record>;
+    /// Sets the function that is called with each key map that this instance has written, as an object of the
+    /// store, and the time before the write.
+    auto set_write_listener(std::function<void(const store_object&, instant)> listener) -> void {
+        m_on_written = std::move(listener);
+    }
     /// Address of the lease holder, if known.
     auto holder_address() const -> std::optional<endpoint>;
 
@@ -164,6 +174,8 @@
     std::map<target_id, target_speed> m_target_speeds;
     confirmation m_last_confirmation;
     std::function<copy_states()> m_copy_source;
+    std::function<void(const store_object&, instant)> m_on_written;
+    instant m_without_holder_since = monotonic_now(); ///< Since when no holder is known to this instance.
 };
 
 } // namespace teaselcross
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -222,6 +222,7 @@
         return found.is_object() && found.value("writer", std::string{}) == map.writer;
     };
     while (m_is_controller && m_term == term) {
+        const auto started = monotonic_now();
         const auto reply = co_await m_store.write(call, is_own_value, write_timeout);
         const auto state = m_services.find(service);
         if (m_term != term || state == m_services.end()) {
@@ -231,6 +232,9 @@
             on_written(state->second.grantor, map, reply.version);
             map.revision = reply.version;
             m_cluster.set_keys(service, map);
+            if (m_on_written) {
+                m_on_written({.key = call.key, .version = reply.version, .value = call.value}, started);
+            }
             tick_service(service, state->second, monotonic_now());
             co_return;
         }
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -45,10 +45,12 @@
 constexpr auto confirmation_validity = duration{std::chrono::milliseconds{850}};
 /// Changes reach instances at different times; a difference that lasts longer indicates a hanging watch.
 constexpr auto disagreement_tolerance = duration{std::chrono::milliseconds{300}};
-/// Interval of refreshes while the state is unconfirmed; changes must take effect within two seconds.
-constexpr auto refresh_interval = duration{std::chrono::milliseconds{900}};
+/// Interval of refreshes of the list of instances while it is unconfirmed.
+constexpr auto instance_refresh_interval = duration{std::chrono::seconds{8}};
 /// Changes must take effect within two seconds, so an older copy is worth a line in the log.
 constexpr auto unconfirmed_log_age = duration{std::chrono::seconds{2}};
+/// A rolling restart of the fleet changes the list of instances many times; nothing depends on it at once.
+constexpr auto instance_batch_delay = duration{std::chrono::seconds{1}};
 constexpr auto internal_body_limit = 4U * 1024 * 1024;
 
 auto read_file(const std::string& name) -> std::optional<std::string> {
@@ -86,6 +88,7 @@
     auto make_server(const endpoint& address, request_handler handler) -> std::unique_ptr<http_server>;
     auto answer_readiness(responder& link, http_request request) -> asio::awaitable<bool>;
     auto is_ready() const -> bool;
+    auto reads_store_directly() const -> bool;
     auto add_follower(follower_options options, follower_events events) -> void;
     auto copies() const -> copy_states;
     auto gauges() const -> std::vector<gauge>;
@@ -163,7 +166,7 @@
     m_controller.set_copy_source([this] { return copies(); });
     m_measured.set_gauge_source([this] { return gauges(); });
     create_followers();
-    spawn(probe_store(m_store, platform::kinds::routes_object));
+    spawn(probe_store(m_store, platform::kinds::routes_object, [this] { return reads_store_directly(); }));
     spawn(m_controller.run());
     spawn(run_housekeeping());
 }
@@ -194,6 +197,12 @@
     co_return co_await write_answer(link, std::move(answer));
 }
 
+/// Whether this instance follows the store itself or controls, so that it has to notice an outage early.
+auto gateway::reads_store_directly() const -> bool {
+    return m_controller.is_controller() || m_followers.empty() || m_followers.front()->is_direct() ||
+           !m_followers.front()->listed();
+}
+
 auto gateway::add_follower(follower_options options, follower_events events) -> void {
     m_followers.push_back(std::make_unique<store_follower>(m_store, m_cluster, m_settings, executor(),
                                                            std::move(options), std::move(events)));
@@ -205,7 +214,6 @@
     for (const auto& each : m_followers) {
         spawn(each->run());
     }
-    spawn(poll_instances(m_cluster, m_store));
     spawn(refresh_unconfirmed_kinds());
 }
 
@@ -240,6 +248,9 @@
 
 auto gateway::choose_refresh_source(const store_follower& kind, instant now) const -> refresh_source {
     const auto& confirmation = m_controller.last_confirmation();
+    if (kind.is_writer()) {
+        return refresh_source::none;
+    }
     return select_refresh_source(
         {.is_controller = m_controller.is_controller(),
          .controller_answered_recently = now - confirmation.received_at < confirmation_validity,
@@ -311,7 +322,7 @@
                 continue;
             }
             const auto refreshed = co_await refresh_kind(*each, source);
-            next = refreshed ? now + refresh_interval : monotonic_now() + compare_interval;
+            next = refreshed ? now + each->refresh_interval() : monotonic_now() + compare_interval;
         }
     }
 }
@@ -322,10 +333,18 @@
     add_follower({.kind = platform::kinds::routes, .batch_delay = entry_batch_delay}, m_feed.route_events());
     add_follower({.kind = platform::kinds::evacuations, .batch_delay = entry_batch_delay},
                  m_feed.out_of_service_events());
+    add_follower({.kind = platform::kinds::instances,
+                  .batch_delay = instance_batch_delay,
+                  .refresh_interval = instance_refresh_interval},
+                 m_feed.instance_events());
     add_follower({.kind = platform::kinds::key_maps,
                   .batch_delay = key_map_batch_delay,
-                  .difference = key_map_difference},
+                  .difference = key_map_difference,
+                  .writer = [this] { return m_controller.key_map_writer(); }},
                  m_feed.key_map_events());
+    m_controller.set_write_listener([&key_maps = *m_followers.back()](const auto& object, instant written_at) {
+        key_maps.apply_own_write(object, written_at);
+    });
     for (const auto& each : m_followers) {
         m_peers.add_follower(*each);
     }
--- a/src/teaselcross/gateway/gateway_settings.h
+++ b/src/teaselcross/gateway/gateway_settings.h
@@ -30,6 +30,8 @@
     /// A cold target may get at most its rate times this factor, plus the slack, in one second.
     double cold_overage = 1.5;
     double cold_slack = 5;
+    /// The whole system starts for the first time, so that no earlier process has left anything.
+    bool is_first_start = false;
     duration stop_grace = std::chrono::seconds{6}; ///< Time from the stop signal until the process is killed.
     duration drain = std::chrono::seconds{2}; ///< A leaving target must get no more requests after this time.
     /// The same for targets in a data centre that was taken out of service.
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace teaselcross {
 
 namespace asio = boost::asio;
@@ -16,11 +18,7 @@
 namespace {
 
 constexpr auto register_timeout = duration{std::chrono::seconds{3}};
-/// Interval of list reads after startup; a stale read costs a tenth of a normal call.
-constexpr auto poll_interval = duration{std::chrono::seconds{4}};
 constexpr auto startup_interval = duration{std::chrono::milliseconds{400}};
-/// With fewer instances listed, the whole fleet is probably starting.
-constexpr auto full_fleet_size = std::size_t{8};
 /// A relayed watch may wait as long as a direct one.
 constexpr auto relay_timeout = duration{std::chrono::milliseconds{9500}};
 constexpr auto max_relayed_bytes = std::size_t{16} * 1024 * 1024;
@@ -34,19 +32,10 @@
         .dump();
 }
 
-auto parse_record(const store_object& object) -> std::optional<instance_record> {
-    const auto document = json::parse(object.value, nullptr, false);
-    try {
-        return instance_record{.name = object.key.substr(object.key.find('/') + 1),
-                               .data_centre = data_centre_id{document.at("data_centre").get<std::string>()},
-                               .internal = {.host = document.at("host").get<std::string>(),
-                                            .port = document.at("port").get<std::uint16_t>()},
-                               .cpu_share = document.at("processor").get<double>(),
-                               .start_time_ms = document.at("birth").get<std::uint64_t>()};
-    } catch (const json::exception& fault) {
-        log::warning("instance_unreadable", {{"object", object.key}, {"fault", fault.what()}});
-        return std::nullopt;
-    }
+/// The kind that a request of a follower names; empty if it names none.
+auto kind_of(const json& query) -> std::string {
+    const auto is_named = query.is_object() && query.contains("kind") && query.at("kind").is_string();
+    return is_named ? query.at("kind").get<std::string>() : std::string{};
 }
 
 /// Writes this instance's own record over any that an earlier process of the same name left.
@@ -56,65 +45,83 @@
     const auto is_own_value = [&value](const std::string& found) {
         return json::parse(found, nullptr, false) == json::parse(value);
     };
-    auto call = store_call{.kind = store_call_kind::create,
+    // A restarted process finds the record of its predecessor, and no other instance writes it.
+    auto call = store_call{.kind = settings.is_first_start ? store_call_kind::create : store_call_kind::update,
                            .key = std::string{platform::kinds::instances} + "/" + settings.instance,
                            .value = value};
     while (true) {
-        auto reply = co_await store.write(call, is_own_value, register_timeout);
+        const auto reply = co_await store.write(call, is_own_value, register_timeout);
         if (reply.status == store_status::ok) {
             co_return;
         }
         if (reply.status == store_status::conflict) {
-            auto get = store_call{.kind = store_call_kind::get, .key = call.key};
-            const auto found = co_await store.call_directly(std::move(get));
-            if (found.status == store_status::ok) {
-                call.kind = store_call_kind::update;
-                call.expected_version = found.version;
-                continue;
-            }
+            call.kind = store_call_kind::update;
         } else if (reply.status == store_status::missing) {
             call.kind = store_call_kind::create;
+        } else {
+            co_await sleep_for(startup_interval);
         }
-        co_await sleep_for(startup_interval);
     }
 }
 
-auto list_instances(cluster_state& cluster, store_access& store, bool stale) -> asio::awaitable<void> {
+/// Lists all instances. Returns false if the store could not be read.
+auto list_instances(cluster_state& cluster, store_access& store, bool stale) -> asio::awaitable<bool> {
+    auto records = std::vector<instance_record>{};
     auto call =
         store_call{.kind = store_call_kind::list, .key = platform::kinds::instances, .allow_stale = stale};
-    const auto reply = co_await store.read(std::move(call));
-    if (reply.status != store_status::ok) {
-        co_return;
-    }
-    auto records = std::vector<instance_record>{};
-    for (const auto& object : reply.objects) {
-        if (auto record = parse_record(object)) {
-            records.push_back(std::move(*record));
+    while (true) {
+        const auto reply = co_await store.read(call);
+        if (reply.status != store_status::ok) {
+            co_return false;
         }
+        for (const auto& object : reply.objects) {
+            if (auto record = parse_instance_record(object)) {
+                records.push_back(std::move(*record));
+            }
+        }
+        if (!reply.more || reply.objects.empty()) {
+            break;
+        }
+        call.after_key = reply.objects.back().key;
     }
-    if (records.size() != cluster.instances().size()) {
-        log::info("instances_listed", {{"count", records.size()}});
-    }
+    log::info("instances_listed", {{"count", records.size()}, {"stale", stale}});
     cluster.set_instances(std::move(records));
+    co_return true;
+}
+
+auto is_listed(const cluster_state& cluster, const std::string& instance) -> bool {
+    const auto& instances = cluster.instances();
+    return std::any_of(instances.begin(), instances.end(),
+                       [&instance](const auto& each) { return each.name == instance; });
 }
 
 } // namespace
 
+auto parse_instance_record(const store_object& object) -> std::optional<instance_record> {
+    const auto document = json::parse(object.value, nullptr, false);
+    try {
+        return instance_record{.name = object.key.substr(object.key.find('/') + 1),
+                               .data_centre = data_centre_id{document.at("data_centre").get<std::string>()},
+                               .internal = {.host = document.at("host").get<std::string>(),
+                                            .port = document.at("port").get<std::uint16_t>()},
+                               .cpu_share = document.at("processor").get<double>(),
+                               .start_time_ms = document.at("birth").get<std::uint64_t>()};
+    } catch (const json::exception& fault) {
+        log::warning("instance_unreadable", {{"object", object.key}, {"fault", fault.what()}});
+        return std::nullopt;
+    }
+}
+
 auto register_and_list_instances(const gateway_settings& settings, cluster_state& cluster,
                                  store_access& store, std::uint64_t start_time_ms) -> asio::awaitable<void> {
     co_await register_self(settings, store, start_time_ms);
-    co_await list_instances(cluster, store, false);
-    if (cluster.instances().size() < full_fleet_size) {
-        co_await sleep_for(startup_interval);
-        co_await list_instances(cluster, store, false);
+    if (settings.is_first_start) {
+        co_await sleep_for(startup_interval); // All instances start at about the same time.
     }
-}
-
-auto poll_instances(cluster_state& cluster, store_access& store) -> asio::awaitable<void> {
-    co_await sleep_for(startup_interval);
-    while (true) {
-        co_await list_instances(cluster, store, true);
-        co_await sleep_for(poll_interval);
+    // A stale list is good enough if it is not older than this instance's own record.
+    static_cast<void>(co_await list_instances(cluster, store, true));
+    if (!is_listed(cluster, settings.instance)) {
+        static_cast<void>(co_await list_instances(cluster, store, false));
     }
 }
 
@@ -147,8 +154,7 @@
     auto response = http_response{http::status::ok, 11};
     if ((target == follow_path || target == compare_path) && request.method() == http::verb::post) {
         const auto query = json::parse(request.body(), nullptr, false);
-        const auto found =
-            m_followers.find(query.is_object() ? query.value("kind", std::string{}) : std::string{});
+        const auto found = m_followers.find(kind_of(query));
         if (found != m_followers.end() && target == follow_path) {
             response.body() = co_await found->second->answer_follower(std::move(request.body()));
         } else if (found != m_followers.end()) {
--- a/src/teaselcross/gateway/peers.h
+++ b/src/teaselcross/gateway/peers.h
@@ -31,12 +31,13 @@
     std::map<std::string, store_follower*> m_followers; ///< By kind.
 };
 
-/// Registers this instance in the store and lists the others; when there are few, it waits briefly and lists
-/// them again.
+/// Decodes the record of an instance in the store. Logs why a record cannot be used, and returns nothing.
+auto parse_instance_record(const store_object& object) -> std::optional<instance_record>;
+
+/// Registers this instance in the store and lists the others, which are followed afterwards; when there are
+/// few, it waits briefly and lists them again.
 auto register_and_list_instances(const gateway_settings& settings, cluster_state& cluster,
                                  store_access& store, std::uint64_t start_time_ms)
     -> boost::asio::awaitable<void>;
-/// Updates the list of instances periodically for as long as the event loop runs.
-auto poll_instances(cluster_state& cluster, store_access& store) -> boost::asio::awaitable<void>;
 
 } // namespace teaselcross
--- a/src/teaselcross/gateway/replica_messages.cpp
+++ b/src/teaselcross/gateway/replica_messages.cpp
@@ -33,6 +33,17 @@
                                        : duration::max();
 }
 
+/// Without an outage there is no field, as in answers of earlier builds.
+auto encode_grace(json& document, duration grace) -> void {
+    if (grace > duration::zero()) {
+        document["grace_us"] = grace.count();
+    }
+}
+
+auto decode_grace(const json& document) -> duration {
+    return duration{document.value("grace_us", duration::rep{0})};
+}
+
 template <class Message, class Reader>
 auto decode(const std::string& text, Reader reader) -> std::optional<Message> {
     try {
@@ -57,6 +68,7 @@
         json{{"epoch", answer.epoch},         {"number", answer.number},  {"at", answer.complete_to},
              {"digest", answer.digest},       {"whole", answer.is_whole}, {"objects", std::move(objects)},
              {"held_us", answer.held.count()}};
+    encode_grace(document, answer.outage_grace);
     encode_age(document, answer.age);
     return document.dump();
 }
@@ -78,10 +90,20 @@
                          {"whole", false}, // Earlier builds read it.
                          {"objects", std::move(objects)},
                          {"present", answer.comparison.same}};
+    encode_grace(document, answer.outage_grace);
     encode_age(document, answer.age);
     return document.dump();
 }
 
+auto starting_answer() -> std::string {
+    return json{{"starting", true}}.dump();
+}
+
+auto is_starting_answer(const std::string& text) -> bool {
+    const auto document = json::parse(text, nullptr, false);
+    return document.is_object() && document.contains("starting");
+}
+
 auto to_json(const copy_states& states) -> json {
     auto document =
         json{{"digests", json::object()}, {"revisions", json::object()}, {"ages_us", json::object()}};
@@ -126,7 +148,8 @@
                                     .digest = document.value("digest", std::uint64_t{0}),
                                     .is_whole = document.at("whole").get<bool>(),
                                     .age = decode_age(document),
-                                    .held = duration{document.value("held_us", duration::rep{0})}};
+                                    .held = duration{document.value("held_us", duration::rep{0})},
+                                    .outage_grace = decode_grace(document)};
         for (const auto& fields : document.at("objects")) {
             answer.objects.push_back(decode_object(fields));
         }
@@ -147,7 +170,8 @@
         auto answer =
             compare_answer{.comparison = {.complete_to = document.at("at").get<std::uint64_t>(),
                                           .same = document.at("present").get<std::vector<std::string>>()},
-                           .age = decode_age(document)};
+                           .age = decode_age(document),
+                           .outage_grace = decode_grace(document)};
         for (const auto& fields : document.at("objects")) {
             answer.comparison.differing.push_back(decode_object(fields).object);
         }
--- a/src/teaselcross/gateway/replica_messages.h
+++ b/src/teaselcross/gateway/replica_messages.h
@@ -34,12 +34,15 @@
     /// How long ago the copy of the answering instance was last known to be complete.
     duration age = duration::max();
     duration held{}; ///< How long the request waited for a change.
+    /// How long entries that expired in an outage of the store may stay missing, as known to that instance.
+    duration outage_grace{};
 };
 
 /// The answer to a comparison.
 struct compare_answer {
     replica_comparison comparison;
     duration age = duration::max(); ///< As in follow_answer.
+    duration outage_grace{};        ///< As in follow_answer.
 };
 
 /// State of an instance's copy of the objects of one kind.
@@ -59,6 +62,9 @@
 auto decode_follow_answer(const std::string& text) -> std::optional<follow_answer>;
 auto decode_versions(const nlohmann::json& query) -> std::optional<object_versions>;
 auto decode_compare_answer(const std::string& text) -> std::optional<compare_answer>;
+/// The answer of an instance that will serve followers once it has read the store.
+auto starting_answer() -> std::string;
+auto is_starting_answer(const std::string& text) -> bool;
 auto to_json(const copy_states& states) -> nlohmann::json;
 /// Throws nlohmann::json::exception when @a document does not contain the states.
 auto copy_states_from_json(const nlohmann::json& document) -> copy_states;
--- a/src/teaselcross/gateway/store_access.cpp
+++ b/src/teaselcross/gateway/store_access.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace teaselcross {
 
 namespace {
@@ -18,6 +20,8 @@
 /// A hanging watch gives no sign of a failure, so a cheap periodic read checks whether the store still
 /// answers.
 constexpr auto probe_interval = duration{std::chrono::milliseconds{600}};
+/// An instance that does not follow the store itself probes once in this many intervals until it answers.
+constexpr auto unhealthy_probe_rounds = 4U;
 constexpr auto retry_delay = duration{std::chrono::milliseconds{120}};
 /// Instances tried in turn to relay one read; if the store refuses a third of them, one read in 27 fails.
 constexpr auto max_relay_tries = 3U;
@@ -133,9 +137,29 @@
     }
 }
 
-auto probe_store(store_access& store, std::string key) -> boost::asio::awaitable<void> {
+auto store_access::outage_grace() const -> duration {
+    const auto now = monotonic_now();
+    const auto relayed = std::max(m_relayed_grace_end - now, duration::zero());
+    if (m_outage_count == 0) {
+        return relayed;
+    }
+    const auto own = m_healthy ? m_healthy_since + m_settings.outage_grace - now : m_settings.outage_grace;
+    return std::max(own, relayed);
+}
+
+auto store_access::note_relayed_outage(duration grace) -> void {
+    m_relayed_grace_end = std::max(m_relayed_grace_end, monotonic_now() + grace);
+}
+
+auto probe_store(store_access& store, std::string key, std::function<bool()> reads_directly)
+    -> boost::asio::awaitable<void> {
+    auto idle_rounds = 0U;
     while (true) {
         co_await sleep_for(probe_interval);
+        const auto is_due = !store.is_healthy() && ++idle_rounds % unhealthy_probe_rounds == 0;
+        if (!reads_directly() && !is_due) {
+            continue; // It learns of an outage from the instance through which it reads.
+        }
         auto call = store_call{.kind = store_call_kind::get, .key = key, .allow_stale = true};
         static_cast<void>(co_await store.call_directly(std::move(call)));
     }
--- a/src/teaselcross/gateway/store_access.h
+++ b/src/teaselcross/gateway/store_access.h
@@ -36,6 +36,12 @@
     /// Number of times that the store stopped answering.
     auto outage_count() const -> std::uint64_t { return m_outage_count; }
     auto pool() -> connection_pool& { return m_pool; }
+    /// How long an entry that expires now may stay missing, because an outage of the store may be the reason.
+    /// Entries also expire while the store is unavailable; targets that are still running register again soon
+    /// after it recovers. Zero without an outage.
+    auto outage_grace() const -> duration;
+    /// Records the outage grace of an instance through which this one reads.
+    auto note_relayed_outage(duration grace) -> void;
 
 private:
     auto record_outcome(const store_reply& reply, store_call_kind kind) -> void;
@@ -51,12 +57,16 @@
     instant m_last_answer{};
     instant m_healthy_since{};
     instant m_try_directly_from{};
+    instant m_relayed_grace_end{};
     std::uint64_t m_outage_count = 0;
     bool m_healthy = false;
 };
 
-/// Reads @a key periodically to detect whether the store answers. Never returns.
-auto probe_store(store_access& store, std::string key) -> boost::asio::awaitable<void>;
+/// Reads @a key periodically to detect whether the store answers: often while @a reads_directly, which tells
+/// whether this instance follows the store itself, and otherwise only until the store answers again. Never
+/// returns.
+auto probe_store(store_access& store, std::string key, std::function<bool()> reads_directly)
+    -> boost::asio::awaitable<void>;
 
 /// Suspends the calling coroutine for @a delay.
 auto sleep_for(duration delay) -> boost::asio::awaitable<void>;
--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -23,6 +23,10 @@
 /// A comparison is answered from memory; the rest of the time in which a change must take effect is left for
 /// asking the store afterwards.
 constexpr auto compare_timeout = duration{std::chrono::milliseconds{400}};
+/// How long a relay that has not read the store yet is waited for, as when the whole fleet starts.
+constexpr auto relay_start_timeout = duration{std::chrono::milliseconds{1500}};
+/// Interval of the checks whether this instance is still the writer of the objects.
+constexpr auto writer_check_interval = duration{std::chrono::milliseconds{200}};
 /// How long a relay that did not answer is avoided.
 constexpr auto relay_avoid_time = duration{std::chrono::milliseconds{3000}};
 /// Earlier values kept to compute differences: about one second of changes, for followers that lag.
@@ -147,6 +151,18 @@
     }
 }
 
+auto store_follower::is_writer() const -> bool {
+    const auto writer = m_options.writer ? m_options.writer() : std::nullopt;
+    return writer && writer->name == m_settings.instance;
+}
+
+auto store_follower::apply_own_write(const store_object& object, instant written_at) -> void {
+    // It says nothing about other objects, so the copy is complete to no later revision than before.
+    const auto origin = change_origin{.source = change_source::own_write, .as_of = written_at};
+    apply_object(object, origin);
+    finish_answer(origin);
+}
+
 auto store_follower::confirm(const copy_state& equal, instant asked_at) -> void {
     set_complete_to(m_replica, equal.complete_to);
     set_confirmed(time_of(asked_at, {}, equal.age));
@@ -207,25 +223,40 @@
             finish_answer(origin);
             co_await sleep_for(m_options.batch_delay);
         }
-        if (relay()) {
-            co_return; // Another instance has become the relay.
+        if (relay() || is_writer()) {
+            co_return; // Another instance has become the relay, or nothing is written elsewhere any more.
         }
     }
 }
 
-/// The relay to follow: the highest ranked instance of this data centre that is not avoided. Returns nothing
-/// when that is this instance, or there is none.
-auto store_follower::relay() const -> std::optional<instance_record> {
-    const auto now = monotonic_now();
-    for (const auto& each : m_cluster.rank_instances("relay")) {
-        const auto avoided = m_avoided_relays.find(each.name);
-        if (each.data_centre != m_settings.data_centre ||
-            (avoided != m_avoided_relays.end() && now < avoided->second)) {
-            continue;
+auto store_follower::is_avoided(const std::string& instance) const -> bool {
+    const auto avoided = m_avoided_relays.find(instance);
+    return avoided != m_avoided_relays.end() && monotonic_now() < avoided->second;
+}
+
+/// The highest ranked instance of this data centre that is not avoided; null if none is known.
+auto store_follower::preferred_instance() const -> const instance_record* {
+    const auto ranking = instance_ranking{"relay"};
+    const instance_record* best = nullptr;
+    for (const auto& each : m_cluster.instances()) {
+        if (each.data_centre == m_settings.data_centre && (best == nullptr || ranking(each, *best)) &&
+            !is_avoided(each.name)) {
+            best = &each;
         }
-        return each.name == m_settings.instance ? std::nullopt : std::optional{each};
     }
-    return std::nullopt;
+    return best;
+}
+
+/// The instance to follow: the preferred one of this data centre, or if that is this instance, the writer of
+/// the objects. Returns nothing when the store is to be followed directly.
+auto store_follower::relay() const -> std::optional<instance_record> {
+    const auto* preferred = preferred_instance();
+    if (preferred != nullptr && preferred->name != m_settings.instance) {
+        return *preferred;
+    }
+    const auto writer = m_options.writer ? m_options.writer() : std::nullopt;
+    const auto follows_writer = writer && writer->name != m_settings.instance && !is_avoided(writer->name);
+    return follows_writer ? writer : std::nullopt;
 }
 
 auto store_follower::relay_address() const -> std::optional<endpoint> {
@@ -235,9 +266,10 @@
 
 auto store_follower::follow_relay(instance_record followed) -> boost::asio::awaitable<void> {
     auto query = follow_query{};
+    const auto started = monotonic_now();
     while (true) {
         const auto chosen = relay();
-        if (!chosen || chosen->name != followed.name) {
+        if (!chosen || chosen->name != followed.name || is_writer()) {
             co_return;
         }
         const auto sent = monotonic_now();
@@ -247,12 +279,18 @@
             co_await perform_exchange(m_pool, std::move(address), std::move(request),
                                       relay_poll_timeout + relay_round_trip_timeout, max_relayed_bytes);
         const auto answer = response ? decode_follow_answer(response->body()) : std::nullopt;
+        if (!answer && response && is_starting_answer(response->body()) &&
+            monotonic_now() - started < relay_start_timeout) {
+            co_await sleep_for(retry_delay);
+            continue;
+        }
         if (!answer) {
             log::info("relay_lost", {{"relay", followed.name}, {"kind", m_options.kind}});
             m_avoided_relays[followed.name] = monotonic_now() + relay_avoid_time;
             co_return;
         }
         query = {.epoch = answer->epoch, .number = answer->number};
+        m_store.note_relayed_outage(answer->outage_grace);
         if (!apply_relayed(*answer, {.source = change_source::relay,
                                      .from = followed.internal.host,
                                      .as_of = time_of(sent, answer->held, answer->age)})) {
@@ -270,6 +308,9 @@
     if (!m_events.patched(object, relayed.base)) {
         return false;
     }
+    if (m_direct) {
+        cache_difference({.from = relayed.base, .to = object.version, .text = std::move(object.value)});
+    }
     object.value.clear();
     merge_object(m_replica, object);
     m_last_change = monotonic_now();
@@ -312,49 +353,83 @@
     return m_events.patched_object(object.key).value_or(object);
 }
 
-/// The difference between @a entry and the version of a follower that has all changes up to number @a known.
-/// Null when that version is no longer kept.
-auto store_follower::difference_since(const object_replica::entry& entry, std::uint64_t known)
-    -> const cached_difference* {
+auto store_follower::cache_difference(cached_difference difference) -> void {
+    m_differences.push_back(std::move(difference));
+    if (m_differences.size() > max_past_values) {
+        m_differences.pop_front();
+    }
+}
+
+/// The cached differences that lead from one version to another, in order; empty if some are missing.
+auto store_follower::find_differences(std::uint64_t from, std::uint64_t to) const
+    -> std::vector<const cached_difference*> {
+    auto found = std::vector<const cached_difference*>{};
+    while (from != to) {
+        const cached_difference* longest = nullptr;
+        for (const auto& each : m_differences) {
+            if (each.from == from && each.to <= to && (longest == nullptr || each.to > longest->to)) {
+                longest = &each;
+            }
+        }
+        if (longest == nullptr || longest->to <= from) {
+            return {};
+        }
+        found.push_back(longest);
+        from = longest->to;
+    }
+    return found;
+}
+
+/// The differences between @a entry and the version of a follower that has all changes up to number @a known.
+/// Empty when that version is no longer kept.
+auto store_follower::differences_since(const object_replica::entry& entry, std::uint64_t known)
+    -> std::vector<const cached_difference*> {
     const auto& past_values = m_replica.past_values;
     const auto past = std::find_if(past_values.rbegin(), past_values.rend(), [&](const auto& each) {
         return each.object.key == entry.object.key && each.change_number <= known;
     });
-    if (m_options.difference == nullptr || past == past_values.rend() || past->object.value.empty()) {
-        return nullptr;
+    if (m_options.difference == nullptr || past == past_values.rend()) {
+        return {};
     }
     const auto from = past->object.version;
     const auto to = entry.object.version;
-    const auto cached = std::find_if(m_differences.begin(), m_differences.end(),
-                                     [&](const auto& each) { return each.from == from && each.to == to; });
-    if (cached != m_differences.end()) {
-        return &*cached;
+    auto cached = find_differences(from, to);
+    if (!cached.empty() || past->object.value.empty()) {
+        return cached;
     }
     auto text = m_options.difference(past->object.value, with_value(entry.object).value);
     if (!text) {
-        return nullptr;
-    }
-    m_differences.push_back({.from = from, .to = to, .text = std::move(*text)});
-    if (m_differences.size() > max_past_values) {
-        m_differences.pop_front();
+        return {};
     }
-    return &m_differences.back();
+    cache_difference({.from = from, .to = to, .text = std::move(*text)});
+    return {&m_differences.back()};
 }
 
-auto store_follower::make_relayed(const object_replica::entry& entry, std::uint64_t known) -> relayed_object {
-    const auto* difference = entry.object.removed ? nullptr : difference_since(entry, known);
-    if (difference == nullptr) {
-        return {.object = with_value(entry.object)};
+/// What a follower needs that has all changes up to number @a known: differences, or the whole value.
+auto store_follower::make_relayed(const object_replica::entry& entry, std::uint64_t known)
+    -> std::vector<relayed_object> {
+    const auto differences =
+        entry.object.removed ? std::vector<const cached_difference*>{} : differences_since(entry, known);
+    if (differences.empty()) {
+        return {{.object = with_value(entry.object)}};
+    }
+    auto relayed = std::vector<relayed_object>{};
+    for (const auto* difference : differences) {
+        relayed.push_back({.object = entry.object, .base = difference->from});
+        relayed.back().object.version = difference->to;
+        relayed.back().object.value = difference->text;
     }
-    auto relayed = relayed_object{.object = entry.object, .base = difference->from};
-    relayed.object.value = difference->text;
     return relayed;
 }
 
 auto store_follower::answer_follower(std::string body) -> boost::asio::awaitable<std::string> {
     const auto query = decode_follow_query(body);
+    const auto* preferred = preferred_instance();
+    if (query && !m_listed && preferred != nullptr && preferred->name == m_settings.instance) {
+        co_return starting_answer();
+    }
     if (!query || !m_listed || !m_direct) {
-        co_return std::string{}; // Only an instance that follows the store directly may serve followers.
+        co_return std::string{}; // Two instances could otherwise follow each other.
     }
     const auto received = monotonic_now();
     const auto same = query->epoch == m_epoch;
@@ -369,10 +444,14 @@
                                 .digest = changes.digest,
                                 .is_whole = changes.is_whole,
                                 .age = age(),
-                                .held = monotonic_now() - received};
+                                .held = monotonic_now() - received,
+                                .outage_grace = m_store.outage_grace()};
     for (const auto* entry : changes.entries) {
-        answer.objects.push_back(changes.is_whole ? relayed_object{.object = with_value(entry->object)}
-                                                  : make_relayed(*entry, query->number));
+        if (changes.is_whole) {
+            answer.objects.push_back({.object = with_value(entry->object)});
+        } else {
+            std::ranges::move(make_relayed(*entry, query->number), std::back_inserter(answer.objects));
+        }
     }
     co_return encode(answer);
 }
@@ -382,7 +461,9 @@
     if (!m_listed || !versions) {
         return {};
     }
-    auto answer = compare_answer{.comparison = compare_replicas(m_replica, *versions), .age = age()};
+    auto answer = compare_answer{.comparison = compare_replicas(m_replica, *versions),
+                                 .age = age(),
+                                 .outage_grace = m_store.outage_grace()};
     for (auto& object : answer.comparison.differing) {
         object = with_value(object);
     }
@@ -403,6 +484,7 @@
     }
     origin.revision = answer->comparison.complete_to;
     origin.as_of = time_of(sent, {}, answer->age);
+    m_store.note_relayed_outage(answer->outage_grace);
     for (const auto& object : objects_to_merge(m_replica, answer->comparison)) {
         apply_object(object, origin);
     }
@@ -413,9 +495,16 @@
 auto store_follower::run() -> boost::asio::awaitable<void> {
     while (true) {
         const auto from = relay();
-        m_direct = !from;
+        const auto writes = is_writer();
+        const auto* preferred = preferred_instance();
+        const auto is_preferred = preferred == nullptr || preferred->name == m_settings.instance;
+        m_direct = !from || writes || is_preferred;
         m_replica.max_past_values = m_direct && m_options.difference != nullptr ? max_past_values : 0;
-        if (from) {
+        if (writes && m_listed) {
+            co_await sleep_for(writer_check_interval);
+            continue;
+        }
+        if (from && !writes) {
             co_await follow_relay(*from);
             continue;
         }
@@ -424,7 +513,9 @@
             co_await sleep_for(retry_delay);
             continue;
         }
-        co_await watch();
+        if (!writes) {
+            co_await watch();
+        }
     }
 }
 
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -5,6 +5,9 @@
 //
 // The number of store calls thus grows with the number of data centres and not of instances. When a relay
 // does not answer, the next candidate takes its place, or the instance follows the store directly.
+//
+// Objects that one instance writes alone, such as key maps, need no watch at all: the relays follow their
+// writer, and go back to the store when it does not answer.
 
 #include "core/enum_names.h"
 #include "gateway/change_signal.h"
@@ -21,9 +24,9 @@
 constexpr auto compare_path = "/compare";
 
 /// Where an instance learned of a change.
-enum class change_source { watch, list, relay, relayed_list, comparison };
-constexpr enum_table<change_source, 5> change_source_names{"watch", "list", "relay", "relayed_list",
-                                                           "comparison"};
+enum class change_source { watch, list, relay, relayed_list, comparison, own_write };
+constexpr enum_table<change_source, 6> change_source_names{"watch",        "list",       "relay",
+                                                           "relayed_list", "comparison", "own_write"};
 
 /// The answer that reported a change.
 struct change_origin {
@@ -55,9 +58,14 @@
 struct follower_options {
     std::string kind;
     duration batch_delay{}; ///< Changes within this time are fetched together.
+    /// Interval of refreshes while nothing confirms the copy.
+    duration refresh_interval = std::chrono::milliseconds{900};
     /// For objects that are large compared with their changes: relays then send differences. Null to send
     /// whole values.
     difference_function difference = nullptr;
+    /// The instance that writes all objects of this kind, if there is one and it is known. Null for kinds with
+    /// other writers.
+    std::function<std::optional<instance_record>()> writer = nullptr;
 };
 
 /// Not thread safe: use it on the event loop's thread only.
@@ -82,17 +90,23 @@
     /// query.
     auto answer_comparison(const nlohmann::json& query) const -> std::string;
 
+    /// Applies an object that this instance has written at the store at @a written_at.
+    auto apply_own_write(const store_object& object, instant written_at) -> void;
+
     /// Records what follows from the state of an equal copy, as received in answer to a request sent at @a
     /// asked_at.
     auto confirm(const copy_state& equal, instant asked_at) -> void;
 
     auto kind() const -> const std::string& { return m_options.kind; }
+    auto refresh_interval() const -> duration { return m_options.refresh_interval; }
     auto state() const -> copy_state;
     auto listed() const -> bool { return m_listed; }
     /// When an object last changed here.
     auto last_change() const -> instant { return m_last_change; }
-    /// Whether this instance follows the store directly.
+    /// Whether this instance serves followers: it follows the store directly, or the writer of the objects.
     auto is_direct() const -> bool { return m_direct; }
+    /// Whether this instance itself writes all objects of the kind, so that it knows them without asking.
+    auto is_writer() const -> bool;
     /// Internal address of the relay to follow; nothing when this instance should follow the store directly.
     auto relay_address() const -> std::optional<endpoint>;
 
@@ -112,13 +126,18 @@
     auto is_live(const std::string& key) const -> bool;
     auto finish_answer(const change_origin& origin) -> void;
     auto with_value(const store_object& object) const -> store_object;
-    auto make_relayed(const object_replica::entry& entry, std::uint64_t known) -> relayed_object;
-    auto difference_since(const object_replica::entry& entry, std::uint64_t known)
-        -> const cached_difference*;
+    auto make_relayed(const object_replica::entry& entry, std::uint64_t known) -> std::vector<relayed_object>;
+    auto cache_difference(cached_difference difference) -> void;
+    auto find_differences(std::uint64_t from, std::uint64_t to) const
+        -> std::vector<const cached_difference*>;
+    auto differences_since(const object_replica::entry& entry, std::uint64_t known)
+        -> std::vector<const cached_difference*>;
     auto apply_relayed(const follow_answer& answer, change_origin origin) -> bool;
     auto watch() -> boost::asio::awaitable<void>;
     auto follow_relay(instance_record followed) -> boost::asio::awaitable<void>;
     auto relay() const -> std::optional<instance_record>;
+    auto preferred_instance() const -> const instance_record*;
+    auto is_avoided(const std::string& instance) const -> bool;
     auto age() const -> duration;
     auto set_confirmed(instant as_of) -> void { m_confirmed_at = std::max(m_confirmed_at, as_of); }
 
