Tell an outage of the store from a refusal; ask the near relay first; prove releases by their token

Change: an outage is when reads fail directly and through other instances. A copy that differs from the controller's is compared with the relay of its own data centre first. A release uses a pooled connection again and is proved by the handover token, which only its answer has. Early rates need more significance before keys move. The unconfirmed list of instances has no warning.

--- a/src/libteaselcross/balance/range_balance.cpp
+++ b/src/libteaselcross/balance/range_balance.cpp
@@ -12,6 +12,10 @@
 /// Counts over less time say too little to compare holders.
 constexpr auto min_counted_time = duration{std::chrono::milliseconds{600}};
 
+/// A key that no holder can serve moves only if its relative load falls to this: a move takes it out of
+/// service for as long as the requests that are running.
+constexpr auto useful_reduction = 0.75;
+
 /// A range with its load during planning.
 struct planned_range {
     shard_key first = 0;
@@ -82,7 +86,9 @@
         return 0;
     }
     const auto deviation = std::sqrt(std::max(load->second, 0.0) / plan.counted_seconds);
-    return (load->second - options.significance * deviation) / std::max(holder->second.capacity, 1e-6);
+    const auto significance =
+        options.significance + options.start_significance * (1.0 - 1.0 / plan.correction);
+    return (load->second - significance * deviation) / std::max(holder->second.capacity, 1e-6);
 }
 
 auto has_no_keys(const move_plan& plan, const target_id& id) -> bool {
@@ -195,7 +201,7 @@
     -> std::optional<planned_move> {
     const key_holder* best = nullptr;
     const auto before = relative_load(state, plan, from.holder);
-    auto least = std::min(before - gain, std::max(1.0, before / 2));
+    auto least = std::min(before - gain, std::max(1.0, before * useful_reduction));
     for (const auto& [id, holder] : state.holders) {
         const auto answers = state.responses.find(id);
         const auto unresponsive =
--- a/src/libteaselcross/balance/range_balance.h
+++ b/src/libteaselcross/balance/range_balance.h
@@ -18,7 +18,10 @@
     duration time_constant{};      ///< Time constant of the exponential decay of the rates.
     double overload_threshold = 0; ///< Load of a holder relative to its capacity above which keys move.
     double significance = 0;       ///< Standard deviations by which a load must exceed the threshold.
-    double min_gain = 0.2;         ///< Minimum difference of relative loads for a move.
+    /// Added to the significance when counting begins; fades while the history grows. Each move takes keys
+    /// out of service for a moment, and a short history shows many differences that are none.
+    double start_significance = 1.5;
+    double min_gain = 0.2;                ///< Minimum difference of relative loads for a move.
     std::size_t max_concurrent_moves = 6; ///< Keys are briefly unavailable while they move.
     std::size_t holders_per_move = 8;     ///< One more concurrent move per this many holders.
     std::size_t max_ranges_per_holder =
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -171,10 +171,7 @@
     if (target != nullptr) {
         auto peer = endpoint{.host = target->view.listed.host, .port = target->view.listed.port};
         const auto request = platform::make_order(order, peer.host);
-        // Answers to orders carry no identity. A second copy of an earlier answer must not be taken for the
-        // proof that a target has released keys, so a release uses a connection of its own.
-        const auto max_idle = order.kind == command_kind::release ? duration::zero() : duration::max();
-        auto opened = co_await open_exchange(m_order_pool, std::move(peer), max_idle);
+        auto opened = co_await open_exchange(m_order_pool, std::move(peer), duration::max());
         // Connecting may have taken long, and the term or the right to send orders may have ended meanwhile.
         sent = monotonic_now();
         if (opened && m_term == term && may_send_orders(sent)) {
@@ -184,6 +181,8 @@
                 co_await receive_answer(*opened, false, read_limits)) {
                 auto response = http_response{opened->header()};
                 result = platform::read_order_answer(order, response, handover);
+                // A late copy of the answer to a release could be taken for the answer to another one, so
+                // the connection is not used again.
                 if (order.kind == command_kind::grant) {
                     end_exchange(m_order_pool, std::move(*opened));
                 }
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 
 #include <fstream>
 #include <iostream>
+#include <set>
 #include <sstream>
 
 namespace teaselcross {
@@ -267,7 +268,7 @@
         kind.confirm(confirmation.copies.at(kind.kind()), confirmation.asked_at);
     }
     const auto state = kind.state();
-    if (!kind.listed() || state.age == duration::max()) {
+    if (!kind.listed() || state.age == duration::max() || kind.refresh_interval() > unconfirmed_log_age) {
         return;
     }
     auto& unconfirmed_since = m_unconfirmed_since[kind.kind()];
@@ -308,19 +309,28 @@
 /// Refreshes a kind when no peer confirms this instance's versions or the controller reports different ones.
 auto gateway::refresh_unconfirmed_kinds() -> asio::awaitable<void> {
     auto next_refresh = std::map<std::string, instant>{};
+    auto asked_relay = std::set<std::string>{}; ///< Kinds that differ from the controller's copy.
     while (true) {
         co_await sleep_for(compare_interval);
         for (const auto& each : m_followers) {
             const auto now = monotonic_now();
             confirm(*each, now);
-            const auto source = choose_refresh_source(*each, now);
+            auto source = choose_refresh_source(*each, now);
             auto& next = next_refresh[each->kind()];
             if (source == refresh_source::none) {
                 next = now + disagreement_tolerance;
+                asked_relay.erase(each->kind());
             }
             if (now < next) {
                 continue;
             }
+            if (source == refresh_source::controller && !each->is_direct() &&
+                asked_relay.insert(each->kind()).second) {
+                // The relay is near and has most likely learnt of the change meanwhile.
+                static_cast<void>(co_await refresh_kind(*each, refresh_source::relay));
+                next = monotonic_now() + disagreement_tolerance;
+                continue;
+            }
             const auto refreshed = co_await refresh_kind(*each, source);
             next = refreshed ? now + each->refresh_interval() : monotonic_now() + compare_interval;
         }
--- a/src/teaselcross/gateway/store_access.cpp
+++ b/src/teaselcross/gateway/store_access.cpp
@@ -48,7 +48,6 @@
         m_try_directly_from = {};
         if (!m_healthy) {
             m_healthy = true;
-            m_healthy_since = now;
             log::info("store_regained", {{"call", name_in(store_call_kind_names, kind)}});
         }
         return;
@@ -60,11 +59,23 @@
                                         {"status", name_in(store_status_names, reply.status)},
                                         {"last_answer_ms", (now - m_last_answer).count() / 1000}});
         }
-        m_outage_count += m_healthy ? 1 : 0;
         m_healthy = false;
     }
 }
 
+auto store_access::record_reachable(bool reachable) -> void {
+    if (reachable == m_reachable) {
+        return;
+    }
+    m_reachable = reachable;
+    if (reachable) {
+        m_reachable_since = monotonic_now();
+    } else {
+        ++m_outage_count;
+    }
+    log::info(reachable ? "store_reachable" : "store_unreachable", {{"outages", m_outage_count}});
+}
+
 auto store_access::call_directly(store_call call) -> boost::asio::awaitable<store_reply> {
     const auto kind = call.kind;
     auto reply =
@@ -77,6 +88,7 @@
     if (monotonic_now() >= m_try_directly_from) {
         auto reply = co_await call_directly(call);
         if (reply.status != store_status::unavailable) {
+            record_reachable(true);
             co_return reply;
         }
     }
@@ -88,10 +100,12 @@
         auto peer = *relay;
         auto reply = co_await perform_store_call(m_pool, std::move(peer), m_dialect, call, call_timeout);
         if (reply.status != store_status::unavailable) {
+            record_reachable(true);
             co_return reply;
         }
         m_avoided_relays[*relay] = monotonic_now() + relay_avoid_time;
     }
+    record_reachable(false);
     co_return store_reply{};
 }
 
@@ -143,7 +157,8 @@
     if (m_outage_count == 0) {
         return relayed;
     }
-    const auto own = m_healthy ? m_healthy_since + m_settings.outage_grace - now : m_settings.outage_grace;
+    const auto own =
+        m_reachable ? m_reachable_since + m_settings.outage_grace - now : m_settings.outage_grace;
     return std::max(own, relayed);
 }
 
@@ -161,7 +176,7 @@
             continue; // It learns of an outage from the instance through which it reads.
         }
         auto call = store_call{.kind = store_call_kind::get, .key = key, .allow_stale = true};
-        static_cast<void>(co_await store.call_directly(std::move(call)));
+        static_cast<void>(co_await store.read(std::move(call)));
     }
 }
 
--- a/src/teaselcross/gateway/store_access.h
+++ b/src/teaselcross/gateway/store_access.h
@@ -30,20 +30,21 @@
 
     /// When the store last answered this instance directly; instant{} before the first answer.
     auto last_answer() const -> instant { return m_last_answer; }
-    /// Start of the current period without failed calls; meaningful only while is_healthy().
-    auto healthy_since() const -> instant { return m_healthy_since; }
+    /// Whether the store answers this instance directly.
     auto is_healthy() const -> bool { return m_healthy; }
-    /// Number of times that the store stopped answering.
-    auto outage_count() const -> std::uint64_t { return m_outage_count; }
+    /// Whether the last read was answered, directly or through another instance.
+    auto is_reachable() const -> bool { return m_reachable; }
     auto pool() -> connection_pool& { return m_pool; }
     /// How long an entry that expires now may stay missing, because an outage of the store may be the reason.
     /// Entries also expire while the store is unavailable; targets that are still running register again soon
-    /// after it recovers. Zero without an outage.
+    /// after it recovers. Zero without an outage, and also while the store refuses this instance but answers
+    /// others: entries do not expire then.
     auto outage_grace() const -> duration;
     /// Records the outage grace of an instance through which this one reads.
     auto note_relayed_outage(duration grace) -> void;
 
 private:
+    auto record_reachable(bool reachable) -> void;
     auto record_outcome(const store_reply& reply, store_call_kind kind) -> void;
     auto choose_relay() -> std::optional<endpoint>;
 
@@ -55,11 +56,12 @@
     std::map<endpoint, instant> m_avoided_relays;
     std::mt19937_64 m_random{std::random_device{}()};
     instant m_last_answer{};
-    instant m_healthy_since{};
+    instant m_reachable_since{};
     instant m_try_directly_from{};
     instant m_relayed_grace_end{};
     std::uint64_t m_outage_count = 0;
     bool m_healthy = false;
+    bool m_reachable = false;
 };
 
 /// Reads @a key periodically to detect whether the store answers: often while @a reads_directly, which tells
--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -57,7 +57,9 @@
                                            .idle_limit = std::chrono::seconds{20},
                                            .user_timeout = relay_round_trip_timeout,
                                            .idle_per_peer = 1}},
-      m_signal{executor}, m_epoch{(std::uint64_t{std::random_device{}()} << 32U) | 1U} {}
+      m_signal{executor}, m_differences{max_past_values}, m_epoch{
+                                                              (std::uint64_t{std::random_device{}()} << 32U) |
+                                                              1U} {}
 
 /// Reads all pages of the list. Returns none when the store could not be read.
 auto store_follower::list_all() -> boost::asio::awaitable<std::vector<object_page>> {
@@ -309,7 +311,7 @@
         return false;
     }
     if (m_direct) {
-        cache_difference({.from = relayed.base, .to = object.version, .text = std::move(object.value)});
+        m_differences.add({.from = relayed.base, .to = object.version, .text = std::move(object.value)});
     }
     object.value.clear();
     merge_object(m_replica, object);
@@ -353,37 +355,10 @@
     return m_events.patched_object(object.key).value_or(object);
 }
 
-auto store_follower::cache_difference(cached_difference difference) -> void {
-    m_differences.push_back(std::move(difference));
-    if (m_differences.size() > max_past_values) {
-        m_differences.pop_front();
-    }
-}
-
-/// The cached differences that lead from one version to another, in order; empty if some are missing.
-auto store_follower::find_differences(std::uint64_t from, std::uint64_t to) const
-    -> std::vector<const cached_difference*> {
-    auto found = std::vector<const cached_difference*>{};
-    while (from != to) {
-        const cached_difference* longest = nullptr;
-        for (const auto& each : m_differences) {
-            if (each.from == from && each.to <= to && (longest == nullptr || each.to > longest->to)) {
-                longest = &each;
-            }
-        }
-        if (longest == nullptr || longest->to <= from) {
-            return {};
-        }
-        found.push_back(longest);
-        from = longest->to;
-    }
-    return found;
-}
-
 /// The differences between @a entry and the version of a follower that has all changes up to number @a known.
 /// Empty when that version is no longer kept.
 auto store_follower::differences_since(const object_replica::entry& entry, std::uint64_t known)
-    -> std::vector<const cached_difference*> {
+    -> std::vector<const object_difference*> {
     const auto& past_values = m_replica.past_values;
     const auto past = std::find_if(past_values.rbegin(), past_values.rend(), [&](const auto& each) {
         return each.object.key == entry.object.key && each.change_number <= known;
@@ -393,7 +368,7 @@
     }
     const auto from = past->object.version;
     const auto to = entry.object.version;
-    auto cached = find_differences(from, to);
+    auto cached = m_differences.find(from, to);
     if (!cached.empty() || past->object.value.empty()) {
         return cached;
     }
@@ -401,15 +376,15 @@
     if (!text) {
         return {};
     }
-    cache_difference({.from = from, .to = to, .text = std::move(*text)});
-    return {&m_differences.back()};
+    m_differences.add({.from = from, .to = to, .text = std::move(*text)});
+    return m_differences.find(from, to);
 }
 
 /// What a follower needs that has all changes up to number @a known: differences, or the whole value.
 auto store_follower::make_relayed(const object_replica::entry& entry, std::uint64_t known)
     -> std::vector<relayed_object> {
     const auto differences =
-        entry.object.removed ? std::vector<const cached_difference*>{} : differences_since(entry, known);
+        entry.object.removed ? std::vector<const object_difference*>{} : differences_since(entry, known);
     if (differences.empty()) {
         return {{.object = with_value(entry.object)}};
     }
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -13,8 +13,7 @@
 #include "gateway/change_signal.h"
 #include "gateway/replica_messages.h"
 #include "gateway/store_access.h"
-
-#include <deque>
+#include "replication/difference_cache.h"
 
 namespace teaselcross {
 
@@ -111,13 +110,6 @@
     auto relay_address() const -> std::optional<endpoint>;
 
 private:
-    /// A difference with the versions between which it was computed.
-    struct cached_difference {
-        std::uint64_t from = 0;
-        std::uint64_t to = 0;
-        std::string text;
-    };
-
     auto list_all() -> boost::asio::awaitable<std::vector<object_page>>;
     auto apply_list(const std::vector<object_page>& pages, const change_origin& origin) -> void;
     auto apply_object(const store_object& object, const change_origin& origin) -> void;
@@ -127,11 +119,8 @@
     auto finish_answer(const change_origin& origin) -> void;
     auto with_value(const store_object& object) const -> store_object;
     auto make_relayed(const object_replica::entry& entry, std::uint64_t known) -> std::vector<relayed_object>;
-    auto cache_difference(cached_difference difference) -> void;
-    auto find_differences(std::uint64_t from, std::uint64_t to) const
-        -> std::vector<const cached_difference*>;
     auto differences_since(const object_replica::entry& entry, std::uint64_t known)
-        -> std::vector<const cached_difference*>;
+        -> std::vector<const object_difference*>;
     auto apply_relayed(const follow_answer& answer, change_origin origin) -> bool;
     auto watch() -> boost::asio::awaitable<void>;
     auto follow_relay(instance_record followed) -> boost::asio::awaitable<void>;
@@ -149,8 +138,8 @@
     connection_pool m_pool;
     change_signal m_signal;
     object_replica m_replica;
-    std::deque<cached_difference> m_differences; ///< Cache: most followers ask for the same differences.
-    std::uint64_t m_epoch;                       ///< Tells change numbers of different processes apart.
+    difference_cache m_differences; ///< Most followers ask for the same differences.
+    std::uint64_t m_epoch;          ///< Tells change numbers of different processes apart.
     /// Revision from which the store is watched. A watch that ends without changes moves it, but says nothing
     /// about changes that the store withheld.
     std::uint64_t m_watched_from = 0;
--- a/tests/gateway/writer_relay_test.cpp
+++ b/tests/gateway/writer_relay_test.cpp
@@ -229,5 +229,47 @@
     EXPECT_LE(store.outage_grace(), seconds{2});
 }
 
+/// The store refuses this instance and answers others: entries that disappear are gone, and keeping them sent
+/// requests to targets that had left (vesilippu-gw-grown trouble-1, DRAIN at 6.6 s).
+TEST(writer_relay, a_store_that_answers_through_another_instance_is_no_outage) {
+    auto context = boost::asio::io_context{1};
+    auto refusing =
+        http_server{context.get_executor(),
+                    {.host = "127.0.0.1"},
+                    [](responder& to, http_request) -> boost::asio::awaitable<bool> {
+                        auto refusal = http_response{boost::beast::http::status::service_unavailable, 11};
+                        refusal.prepare_payload();
+                        co_return co_await write_answer(to, std::move(refusal));
+                    }};
+    refusing.start();
+    auto other = loopback_peer{context.get_executor(), [](const auto&) { return store_answer(0); }};
+    const auto settings =
+        gateway_settings{.instance = "own", .store = {.host = "127.0.0.1", .port = refusing.port()}};
+    auto cluster = cluster_state{settings, context.get_executor()};
+    auto store = store_access{settings, cluster, context.get_executor(), platform::platform_dialect};
+    auto reads = 0;
+    const auto read = [&] {
+        const auto before = reads;
+        boost::asio::co_spawn(
+            context,
+            [&]() -> boost::asio::awaitable<void> {
+                auto call = store_call{.kind = store_call_kind::list, .key = key_maps};
+                static_cast<void>(co_await store.read(std::move(call)));
+                ++reads;
+            },
+            boost::asio::detached);
+        EXPECT_TRUE(run_until(context, [&] { return reads > before; }));
+    };
+    cluster.set_instances({{.name = "other", .internal = other.address()}});
+    read();
+    EXPECT_FALSE(store.is_healthy());
+    EXPECT_TRUE(store.is_reachable());
+    EXPECT_EQ(store.outage_grace(), duration::zero());
+    cluster.set_instances({});
+    read();
+    EXPECT_FALSE(store.is_reachable());
+    EXPECT_EQ(store.outage_grace(), settings.outage_grace);
+}
+
 } // namespace
 } // namespace teaselcross
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -187,6 +187,42 @@
     EXPECT_EQ(result(http::status::service_unavailable), command_result::unanswered);
 }
 
+/// A target wrote the answer to an earlier grant a second time, on the connection of a release.
+TEST(platform_messages, copy_of_the_answer_to_a_grant_is_no_proof_of_a_release) {
+    const auto order = holder_command{.kind = command_kind::release, .first = 1, .last = 2, .fence = 12};
+    auto handover = std::string{};
+    auto answer = http_response{http::status::ok, 11};
+    EXPECT_EQ(platform::read_order_answer(order, answer, handover), command_result::unanswered);
+    answer.set("Teaselcross-Handover", "token");
+    EXPECT_EQ(platform::read_order_answer(order, answer, handover), command_result::done);
+    EXPECT_EQ(handover, "token");
+}
+
+TEST(platform_messages, targets_that_leave_or_ask_for_quiet_are_recognised) {
+    const auto read = [](http::status status, const std::string& field, const std::string& value) {
+        auto answer = open_answer{};
+        answer.parser = std::make_unique<http::response_parser<http::buffer_body>>();
+        answer.parser->get().result(status);
+        answer.parser->get().set(field, value);
+        return platform::read_target_answer(answer);
+    };
+    EXPECT_TRUE(read(http::status::ok, "Server-Leaving", "1").is_leaving);
+    EXPECT_FALSE(read(http::status::ok, "Server", "1").is_leaving);
+    using std::chrono::milliseconds;
+    EXPECT_EQ(read(http::status::service_unavailable, "Retry-After", "1.5").quiet_for, milliseconds{1500});
+    EXPECT_EQ(read(http::status::ok, "Retry-After", "1.5").quiet_for, std::nullopt);
+    for (const auto* value : {"", "soon", "-1", "nan", "1 s", "Wed, 21 Oct 2015 07:28:00 GMT"}) {
+        EXPECT_EQ(read(http::status::service_unavailable, "Retry-After", value).quiet_for, std::nullopt)
+            << value;
+    }
+}
+
+TEST(platform_store, an_update_without_a_version_is_unconditional) {
+    const auto write = store_call{.kind = store_call_kind::update, .key = "k/n", .value = "{}"};
+    const auto body = json::parse(platform::platform_dialect.make_request(write, "store").body());
+    EXPECT_FALSE(body["metadata"].contains("revision"));
+}
+
 TEST(platform_store, replies_are_decoded_and_objects_with_an_invalid_specification_are_kept) {
     const auto& dialect = platform::platform_dialect;
     const auto call = store_call{.kind = store_call_kind::watch, .key = "servers", .after = 530};
