--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/cluster_state_feed.h"
 #include "gateway/peers.h"
 #include "gateway/store_follower.h"
+#include "gateway/task.h"
 #include "logging/log.h"
 #include "membership/cache_validation.h"
 #include "platform/messages.h"
@@ -83,8 +84,8 @@
 
 private:
     auto executor() -> asio::any_io_executor { return m_context.get_executor(); }
-    auto spawn(asio::awaitable<void> work) -> void {
-        asio::co_spawn(m_context, std::move(work), asio::detached);
+    auto spawn(std::string name, task_factory start) -> void {
+        asio::co_spawn(m_context, run_task(std::move(name), std::move(start)), asio::detached);
     }
     auto make_server(const endpoint& address, request_handler handler) -> std::unique_ptr<http_server>;
     auto answer_readiness(responder& link, http_request request) -> asio::awaitable<bool>;
@@ -167,9 +168,12 @@
     m_controller.set_copy_source([this] { return copies(); });
     m_measured.set_gauge_source([this] { return gauges(); });
     create_followers();
-    spawn(probe_store(m_store, platform::kinds::routes_object, [this] { return reads_store_directly(); }));
-    spawn(m_controller.run());
-    spawn(run_housekeeping());
+    spawn("store_probe", [this] {
+        return probe_store(m_store, platform::kinds::routes_object,
+                           [this] { return reads_store_directly(); });
+    });
+    spawn("controller", [this] { return m_controller.run(); });
+    spawn("housekeeping", [this] { return run_housekeeping(); });
 }
 
 auto gateway::is_ready() const -> bool {
@@ -213,9 +217,9 @@
 auto gateway::start_following() -> asio::awaitable<void> {
     co_await register_and_list_instances(m_settings, m_cluster, m_store, m_start_time_ms);
     for (const auto& each : m_followers) {
-        spawn(each->run());
+        spawn("follow_" + each->kind(), [&follower = *each] { return follower.run(); });
     }
-    spawn(refresh_unconfirmed_kinds());
+    spawn("refresh", [this] { return refresh_unconfirmed_kinds(); });
 }
 
 auto gateway::copies() const -> copy_states {
@@ -359,7 +363,7 @@
     for (const auto& each : m_followers) {
         m_peers.add_follower(*each);
     }
-    spawn(start_following());
+    spawn("start", [this] { return start_following(); });
 }
 
 auto gateway::run_housekeeping() -> asio::awaitable<void> {
@@ -408,7 +412,7 @@
             reload("signal");
         } else if (!m_stopping) {
             m_stopping = true;
-            spawn(stop());
+            spawn("stop", [this] { return stop(); });
         }
         watch_signals();
     });
--- a/src/teaselcross/http/connection_pool.h
+++ b/src/teaselcross/http/connection_pool.h
@@ -66,6 +66,9 @@
     /// Returns a connection to the pool. Its last response must have been read completely.
     auto release(std::unique_ptr<connection> used) -> void;
 
+    /// Sets how many idle connections to one peer are kept; those that are idle already stay.
+    auto set_idle_per_peer(std::size_t limit) -> void { m_options.idle_per_peer = limit; }
+
     /// Closes the idle connections to @a peer, for use after one of them timed out or broke.
     auto close_idle(const endpoint& peer) -> void;
 
