--- a/src/libteaselcross/admission/gate.cpp
+++ b/src/libteaselcross/admission/gate.cpp
@@ -9,14 +9,15 @@
     estimate.share += ((late ? 1.0 : 0.0) - estimate.share) * smoothing;
 }
 
-auto idle_connections(const gate_options& options) -> std::size_t {
+auto idle_connections(const gate_options& options, std::uint32_t in_flight) -> std::size_t {
     constexpr auto most = std::size_t{8};
     if (options.connection_limit == 0) {
         return most;
     }
-    const auto share = options.idle_share * options.connection_limit /
+    const auto share = options.connection_share * options.connection_limit /
                        static_cast<double>(std::max<std::size_t>(options.instances, 1));
-    return std::clamp(static_cast<std::size_t>(share), std::size_t{1}, most);
+    const auto left = std::max(share - in_flight, 1.0);
+    return std::min(static_cast<std::size_t>(left), most);
 }
 
 auto check_admission(const target_view& view, const request_times& times, const lateness_estimate& lateness,
--- a/src/libteaselcross/admission/gate.h
+++ b/src/libteaselcross/admission/gate.h
@@ -32,9 +32,7 @@
     std::size_t instances = 1; ///< Instances that share the connection limit.
     /// Part of the connection limit that the instances use together; the rest allows for connections that are
     /// still closing.
-    double connection_share = 0.7;
-    /// Part of the limit that idle connections may take.
-    double idle_share = 0.25;
+    double connection_share = 0.75;
     double min_connections = 2; ///< Connections that an instance may use whatever its share.
     /// Requests at a target, in multiples of its slots, above which it counts as congested and a request that
     /// is expected to miss its objective is refused. At 2 every slot is busy and as many requests wait.
@@ -45,9 +43,10 @@
     view_options view;
 };
 
-/// The idle connections to one target that an instance keeps: a part of its share of the limit, at least one.
-/// @a options name the limit and the instances that share it. Thread safe.
-auto idle_connections(const gate_options& options) -> std::size_t;
+/// The idle connections to one target that an instance keeps beside those of @a in_flight requests: what is
+/// left of its share of the limit, at least one. @a options name the limit and the instances that share it.
+/// Thread safe.
+auto idle_connections(const gate_options& options, std::uint32_t in_flight) -> std::size_t;
 
 /// Returns nothing if the request may be sent, otherwise the time after which the caller should retry.
 auto check_admission(const target_view& view, const request_times& times, const lateness_estimate& lateness,
--- a/src/libteaselcross/admission/target_view.cpp
+++ b/src/libteaselcross/admission/target_view.cpp
@@ -96,7 +96,9 @@
         return;
     }
     if (result == send_result::reset) {
-        view.full_until = now + options.full_backoff;
+        const auto doublings = std::min(view.resets, 3U);
+        view.full_until = now + std::min(options.full_backoff * (1U << doublings), options.max_full_backoff);
+        ++view.resets;
         return;
     }
     if (result == send_result::no_answer) {
@@ -106,6 +108,7 @@
         return;
     }
     view.silent_sends = 0;
+    view.resets = 0;
     view.avoid_until = {};
     const auto failed = result == send_result::failed ? 1.0 : 0.0;
     view.error_rate += (failed - view.error_rate) * options.smoothing;
--- a/src/libteaselcross/admission/target_view.h
+++ b/src/libteaselcross/admission/target_view.h
@@ -51,7 +51,8 @@
     instant quiet_until{};
     /// The target accepts no more connections; requests before this time would be lost with theirs.
     instant full_until{};
-    double error_rate = 0; ///< Smoothed share of failed answers.
+    std::uint32_t resets = 0; ///< Consecutive connections that the target reset at once.
+    double error_rate = 0;    ///< Smoothed share of failed answers.
     instant cold_until{};
     double cold_credit = 0; ///< Tokens of the cold rate limit; one per send.
     instant cold_credit_updated{};
@@ -72,7 +73,9 @@
     duration initial_backoff = std::chrono::milliseconds{250};
     duration max_backoff = std::chrono::milliseconds{2000};
     /// How long nothing is sent to a target that accepts no more connections: some requests end meanwhile.
+    /// Doubles with each further reset; a full queue takes seconds to empty.
     duration full_backoff = std::chrono::milliseconds{150};
+    duration max_full_backoff = std::chrono::milliseconds{1200};
     double smoothing = 0.15;                                        ///< Weight of the newest completion.
     double report_smoothing = 0.2;                                  ///< Weight of the newest report.
     duration default_service_time = std::chrono::milliseconds{100}; ///< Assumed before the first answer.
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -220,7 +220,7 @@
         answer.client_connection->idle_limit = std::min(answer.client_connection->idle_limit, limit);
     }
     if (fields.not_executed) {
-        end_exchange(m_pool, std::move(answer));
+        release_connection(current);
         return fields.misdirected ? attempt_result::misdirected : attempt_result::shed;
     }
     const auto status = answer.status();
@@ -235,6 +235,16 @@
     return status >= 500 ? attempt_result::failed : attempt_result::answered;
 }
 
+/// Returns the connection of a finished exchange to the pool, unless the target's share is used up.
+auto request_router::release_connection(request_context& current) -> void {
+    const auto target = m_cluster.target(current.last_target);
+    const auto in_flight = target == nullptr ? 0U : target->view.in_flight;
+    const auto options = gate_options{.connection_limit = current.policy.connection_limit,
+                                      .instances = m_cluster.fleet_size()};
+    m_pool.set_idle_per_peer(idle_connections(options, in_flight));
+    end_exchange(m_pool, std::move(current.answer));
+}
+
 auto request_router::send_answer(responder& link, request_context& current) -> asio::awaitable<bool> {
     auto& answer = current.answer;
     platform::make_caller_answer(answer);
@@ -248,7 +258,7 @@
         if (!current.is_head_request) {
             response.prepare_payload();
         }
-        end_exchange(m_pool, std::move(answer));
+        release_connection(current);
         sent = co_await write_answer(link, std::move(response));
     } else {
         const auto patience = current.caller.time_left.value_or(default_patience);
@@ -256,7 +266,7 @@
         const auto limits = stream_limits{.stall_timeout = body_stall_timeout, .total_timeout = left};
         sent = co_await stream_answer(link, answer, limits);
         if (sent) {
-            end_exchange(m_pool, std::move(answer));
+            release_connection(current);
         } else {
             abort_exchange(answer);
         }
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -138,8 +138,6 @@
         started.was_refused_before = detect_retry(m_patience[rule.name], *started.caller.time_left, {}, now);
     }
     count_request(m_budgets[started.service], budget_options(), now);
-    m_pool.set_idle_per_peer(idle_connections(
-        {.connection_limit = started.policy.connection_limit, .instances = m_cluster.fleet_size()}));
     if (started.policy.keyed && started.caller.key) {
         ++m_sample.key_requests[started.service][*started.caller.key];
     }
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -75,6 +75,7 @@
     auto classify_answer(request_context& current) -> attempt_result;
     auto may_retry(request_context& current, attempt_result end, instant now) -> bool;
     auto record_answer_size(const std::string& rule, std::size_t bytes) -> void;
+    auto release_connection(request_context& current) -> void;
     auto send_answer(responder& link, request_context& current) -> boost::asio::awaitable<bool>;
     auto refuse(responder& link, request_context& current, refusal reason) -> boost::asio::awaitable<bool>;
 
--- a/tests/admission/connection_share_test.cpp
+++ b/tests/admission/connection_share_test.cpp
@@ -33,14 +33,16 @@
     for (const auto& [limit, instances] :
          {fleet{130, 12}, fleet{520, 76}, fleet{600, 90}, fleet{1200, 195}, fleet{1200, 300}}) {
         const auto options = gate_options{.connection_limit = limit, .instances = instances};
-        const auto open = instances * (most_in_flight(options) + idle_connections(options));
-        EXPECT_LE(open, limit) << instances;
-        EXPECT_GE(idle_connections(options), 1U);
+        const auto most = most_in_flight(options);
+        for (auto in_flight = 0U; in_flight <= most; ++in_flight) {
+            EXPECT_LE(instances * (in_flight + idle_connections(options, in_flight)), limit) << instances;
+            EXPECT_GE(idle_connections(options, in_flight), 1U);
+        }
     }
 }
 
 TEST(connection_share, without_a_limit_idle_connections_are_bounded) {
-    EXPECT_EQ(idle_connections({}), 8U);
+    EXPECT_EQ(idle_connections({}, 100), 8U);
 }
 
 } // namespace teaselcross::test
--- a/tests/admission/target_view_test.cpp
+++ b/tests/admission/target_view_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace teaselcross::test {
 
 namespace {
@@ -103,4 +105,29 @@
     EXPECT_GE(taken.size(), 5U);
 }
 
+/// Pattern: a key gets many times what its owner can serve, and the owner resets connections beyond its cap.
+/// Each request that is sent then is lost with its connection, and two such losses made the owner count as
+/// gone.
+TEST(target_view, a_target_that_resets_new_connections_is_left_alone_for_longer_each_time) {
+    auto own = view("t");
+    const auto options = view_options{};
+    auto now = start;
+    auto pauses = std::vector<duration>{};
+    for (auto number = 0; number < 5; ++number) {
+        on_sent(own);
+        on_ended(own, send_result::reset, milliseconds{2}, options, now);
+        pauses.push_back(own.full_until - now);
+        now = own.full_until;
+    }
+    EXPECT_EQ(pauses.front(), options.full_backoff);
+    EXPECT_TRUE(std::is_sorted(pauses.begin(), pauses.end()));
+    EXPECT_EQ(pauses.back(), options.max_full_backoff);
+    EXPECT_EQ(own.silent_sends, 0U) << "it is not silent";
+    on_sent(own);
+    on_ended(own, send_result::answered, milliseconds{100}, options, now);
+    on_sent(own);
+    on_ended(own, send_result::reset, milliseconds{2}, options, now);
+    EXPECT_EQ(own.full_until - now, options.full_backoff);
+}
+
 } // namespace teaselcross::test
