--- a/src/libteaselcross/admission/gate.cpp
+++ b/src/libteaselcross/admission/gate.cpp
@@ -16,7 +16,8 @@
     }
     const auto share = options.connection_share * options.connection_limit /
                        static_cast<double>(std::max<std::size_t>(options.instances, 1));
-    const auto left = std::max(share - in_flight, 1.0);
+    const auto least = in_flight == 0 ? 1.0 : 0.0;
+    const auto left = std::max(share - in_flight, least);
     return std::min(static_cast<std::size_t>(left), most);
 }
 
--- a/src/libteaselcross/admission/gate.h
+++ b/src/libteaselcross/admission/gate.h
@@ -44,8 +44,8 @@
 };
 
 /// The idle connections to one target that an instance keeps beside those of @a in_flight requests: what is
-/// left of its share of the limit, at least one. @a options name the limit and the instances that share it.
-/// Thread safe.
+/// left of its share of the limit, and at least one while no request is in flight. @a options name the limit
+/// and the instances that share it. Thread safe.
 auto idle_connections(const gate_options& options, std::uint32_t in_flight) -> std::size_t;
 
 /// Returns nothing if the request may be sent, otherwise the time after which the caller should retry.
