Give revisions of the store a type that includes its era

A revision number orders changes only until the store is restored from an older copy: then the numbers of the lost changes are given out again. All versions, positions and bounds of copies are now store_revision, ordered by era and number, so that two of them cannot be compared without the era. Between instances a revision is still one number.

--- a/src/libteaselcross/keyspace/key_map.cpp
+++ b/src/libteaselcross/keyspace/key_map.cpp
@@ -95,7 +95,7 @@
     return changes;
 }
 
-auto apply_changes(const key_map& before, const key_map_changes& changes, std::uint64_t revision)
+auto apply_changes(const key_map& before, const key_map_changes& changes, const store_revision& revision)
     -> tl::expected<key_map, std::string> {
     auto map = key_map{.revision = revision, .fences_used = changes.fences_used, .writer = changes.writer};
     auto changed = changes.ranges.begin();
@@ -126,7 +126,7 @@
     return changes;
 }
 
-auto key_map_from_json(const nlohmann::json& document, std::uint64_t revision)
+auto key_map_from_json(const nlohmann::json& document, const store_revision& revision)
     -> tl::expected<key_map, std::string> {
     auto map = key_map{.revision = revision};
     try {
--- a/src/libteaselcross/keyspace/key_map.h
+++ b/src/libteaselcross/keyspace/key_map.h
@@ -3,6 +3,7 @@
 // The key map: the owner of each range of shard keys, as recorded in the store.
 
 #include "core/identifier.h"
+#include "replication/store_revision.h"
 
 #include <nlohmann/json.hpp>
 #include <tl/expected.hpp>
@@ -40,7 +41,7 @@
 
 /// All ranges of a service in ascending order, without gaps.
 struct key_map {
-    std::uint64_t revision = 0; ///< Revision of the store's object; 0 if there is none.
+    store_revision revision; ///< Revision of the store's object; number 0 if there is none.
     std::uint64_t fences_used = 0;
     std::string writer; ///< Identifies the write, to recognise it after a lost reply.
     std::vector<key_range> ranges;
@@ -64,7 +65,7 @@
 
 /// @a before with @a changes, as @a revision. The error says why the changes don't match
 /// the map. Thread safe if the arguments are not modified.
-auto apply_changes(const key_map& before, const key_map_changes& changes, std::uint64_t revision)
+auto apply_changes(const key_map& before, const key_map_changes& changes, const store_revision& revision)
     -> tl::expected<key_map, std::string>;
 
 auto to_json(const key_map_changes& changes) -> nlohmann::json;
@@ -72,7 +73,7 @@
 auto key_map_changes_from_json(const nlohmann::json& document) -> tl::expected<key_map_changes, std::string>;
 
 /// An error says what is wrong with @a document.
-auto key_map_from_json(const nlohmann::json& document, std::uint64_t revision)
+auto key_map_from_json(const nlohmann::json& document, const store_revision& revision)
     -> tl::expected<key_map, std::string>;
 
 } // namespace teaselcross
--- a/src/libteaselcross/ownership/lease.cpp
+++ b/src/libteaselcross/ownership/lease.cpp
@@ -21,7 +21,8 @@
     state.write_pending = true;
     state.write_started_at = now;
     state.next_write_at = now + state.options.renewal_interval;
-    return {.object = std::move(object), .expected_version = state.last_known ? state.last_known_version : 0};
+    return {.object = std::move(object),
+            .expected_version = state.last_known ? state.last_known_version : store_revision{}};
 }
 
 } // namespace
@@ -36,8 +37,8 @@
             .renewals = object.at("renewals").get<std::uint64_t>()};
 }
 
-auto on_lease_read(lease_candidate& state, const std::optional<lease_object>& object, std::uint64_t version,
-                   instant now) -> void {
+auto on_lease_read(lease_candidate& state, const std::optional<lease_object>& object,
+                   const store_revision& version, instant now) -> void {
     if (!state.is_up_to_date || state.last_known != object) {
         state.unchanged_since = now;
     }
@@ -66,8 +67,8 @@
     return begin_write(state, {.holder = state.self, .epoch = epoch, .renewals = 0}, now);
 }
 
-auto on_lease_written(lease_candidate& state, const lease_object& object, std::uint64_t version, instant now)
-    -> void {
+auto on_lease_written(lease_candidate& state, const lease_object& object, const store_revision& version,
+                      instant now) -> void {
     state.write_pending = false;
     state.is_up_to_date = true;
     state.last_known = object;
--- a/src/libteaselcross/ownership/lease.h
+++ b/src/libteaselcross/ownership/lease.h
@@ -7,6 +7,7 @@
 
 #include "core/identifier.h"
 #include "core/time.h"
+#include "replication/store_revision.h"
 
 #include <nlohmann/json.hpp>
 
@@ -38,7 +39,7 @@
     instance_id self;
     lease_options options;
     std::optional<lease_object> last_known; ///< As last read; none while the object does not exist.
-    std::uint64_t last_known_version = 0;
+    store_revision last_known_version;
     bool is_up_to_date = false; ///< Whether the object was read or written since the last failed write.
     instant unchanged_since{};
     std::optional<instant> held_until;
@@ -50,12 +51,12 @@
 /// A conditional write to make.
 struct lease_write {
     lease_object object;
-    std::uint64_t expected_version = 0; ///< 0: the object must not exist.
+    store_revision expected_version; ///< Number 0: the object must not exist.
 };
 
 /// Handles the lease object as read, or received from a watch, at @a now.
-auto on_lease_read(lease_candidate& state, const std::optional<lease_object>& object, std::uint64_t version,
-                   instant now) -> void;
+auto on_lease_read(lease_candidate& state, const std::optional<lease_object>& object,
+                   const store_revision& version, instant now) -> void;
 
 /// Returns the write to start at @a now, if any. An @a eager candidate acquires a free or expired lease at
 /// once, the others wait for one more term. @a holder_gone: the holder is believed dead, so the end of its
@@ -64,8 +65,8 @@
     -> std::optional<lease_write>;
 
 /// Records that the pending write succeeded and created @a version.
-auto on_lease_written(lease_candidate& state, const lease_object& object, std::uint64_t version, instant now)
-    -> void;
+auto on_lease_written(lease_candidate& state, const lease_object& object, const store_revision& version,
+                      instant now) -> void;
 
 /// The pending write was rejected or its outcome is unknown; the object has to be read again.
 auto on_lease_write_failed(lease_candidate& state, instant now) -> void;
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -378,7 +378,7 @@
     return state.map;
 }
 
-auto on_written(range_grantor& state, const key_map& written, std::uint64_t revision) -> void {
+auto on_written(range_grantor& state, const key_map& written, const store_revision& revision) -> void {
     state.writing = false;
     state.owns_record = true;
     state.map.revision = revision;
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -127,7 +127,7 @@
 /// Returns the map to write to the store now, if any; `writing` stays set until on_written().
 auto next_write(range_grantor& state) -> std::optional<key_map>;
 /// Records that @a written is in the store as @a revision.
-auto on_written(range_grantor& state, const key_map& written, std::uint64_t revision) -> void;
+auto on_written(range_grantor& state, const key_map& written, const store_revision& revision) -> void;
 
 /// Whether range @a index is not moving and its holder has acknowledged the grant.
 auto is_served(const range_grantor& state, std::size_t index) -> bool;
--- a/src/libteaselcross/replication/difference_cache.cpp
+++ b/src/libteaselcross/replication/difference_cache.cpp
@@ -9,9 +9,10 @@
     }
 }
 
-auto difference_cache::find(std::uint64_t from, std::uint64_t to) const
+auto difference_cache::find(const store_revision& after, const store_revision& to) const
     -> std::vector<const object_difference*> {
     auto found = std::vector<const object_difference*>{};
+    auto from = after;
     while (from < to) {
         const object_difference* longest = nullptr;
         for (const auto& each : m_differences) {
--- a/src/libteaselcross/replication/difference_cache.h
+++ b/src/libteaselcross/replication/difference_cache.h
@@ -4,7 +4,8 @@
 //
 // Versions are revisions of the store, which no two objects share, so a difference needs no key.
 
-#include <cstdint>
+#include "replication/store_revision.h"
+
 #include <deque>
 #include <string>
 #include <vector>
@@ -13,8 +14,8 @@
 
 /// The difference between two versions of one object, as text.
 struct object_difference {
-    std::uint64_t from = 0;
-    std::uint64_t to = 0;
+    store_revision from;
+    store_revision to;
     std::string text;
 };
 
@@ -29,7 +30,8 @@
 
     /// The differences that lead from one version to another, to be applied in order; empty if some are
     /// missing or the versions are equal. They are valid until the next add().
-    auto find(std::uint64_t from, std::uint64_t to) const -> std::vector<const object_difference*>;
+    auto find(const store_revision& after, const store_revision& to) const
+        -> std::vector<const object_difference*>;
 
 private:
     std::size_t m_capacity;
--- a/src/libteaselcross/replication/object_replica.cpp
+++ b/src/libteaselcross/replication/object_replica.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 auto digest_of(const store_object& object) -> std::uint64_t {
-    return rendezvous_weight(object.version, object.key);
+    return rendezvous_weight(encode_revision(object.version), object.key);
 }
 
 auto keep_past_value(object_replica& replica, object_replica::entry past) -> void {
@@ -78,15 +78,15 @@
 
 /// Whether the removal of an object is out of date, because a list of the same revision or a later one
 /// contains the object.
-auto is_contradicted(const object_replica& replica, const store_object& object, std::uint64_t revision)
-    -> bool {
+auto is_contradicted(const object_replica& replica, const store_object& object,
+                     const store_revision& revision) -> bool {
     const auto found = replica.entries.find(object.key);
     return found == replica.entries.end() ||
            (found->second.object.removed && found->second.object.version <= revision);
 }
 
 /// Applies @a page to a copy that was complete up to @a complete_to before the list.
-auto merge_page(object_replica& replica, const object_page& page, std::uint64_t complete_to,
+auto merge_page(object_replica& replica, const object_page& page, const store_revision& complete_to,
                 std::vector<store_object>& changes) -> void {
     const auto apply = [&](const store_object& object) {
         record_change(replica, object);
@@ -124,7 +124,7 @@
         return is_newer ? merge_result::applied : merge_result::already_known;
     }
     // An object that a complete copy does not contain is absent at the revision up to which it is complete.
-    const auto recorded = found == replica.entries.end() ? 0 : found->second.object.version;
+    const auto recorded = found == replica.entries.end() ? store_revision{} : found->second.object.version;
     if (object.version > std::max(recorded, replica.complete_to)) {
         return merge_result::applied;
     }
@@ -152,11 +152,11 @@
     return changes;
 }
 
-auto hear_revision(object_replica& replica, std::uint64_t revision) -> void {
+auto hear_revision(object_replica& replica, const store_revision& revision) -> void {
     replica.newest_heard = std::max(replica.newest_heard, revision);
 }
 
-auto set_complete_to(object_replica& replica, std::uint64_t revision) -> void {
+auto set_complete_to(object_replica& replica, const store_revision& revision) -> void {
     replica.complete_to = std::max(replica.complete_to, revision);
     hear_revision(replica, revision);
     trim_removals(replica);
--- a/src/libteaselcross/replication/object_replica.h
+++ b/src/libteaselcross/replication/object_replica.h
@@ -17,7 +17,7 @@
 namespace teaselcross {
 
 /// Objects by key with their versions.
-using object_versions = std::map<std::string, std::uint64_t>;
+using object_versions = std::map<std::string, store_revision>;
 
 /// The copy of one kind of objects. Not thread safe.
 struct object_replica {
@@ -35,8 +35,8 @@
     std::deque<entry> recent_removals; ///< Removals still sent to followers, oldest first; only the keys.
     std::deque<entry> past_values;     ///< Earlier values, oldest first.
     /// All changes of the store up to this revision are contained.
-    std::uint64_t complete_to = 0;
-    std::uint64_t newest_heard = 0;         ///< The highest revision that any answer mentioned.
+    store_revision complete_to;
+    store_revision newest_heard;            ///< The highest revision that any answer mentioned.
     std::uint64_t change_number = 0;        ///< Number of the latest change.
     std::uint64_t last_dropped_removal = 0; ///< Number of the latest removal that has been discarded.
     /// Hash over the keys and versions of all live objects; equal on copies with the same content.
@@ -59,7 +59,7 @@
 /// A part of a list: all live objects at @a revision with keys after @a after_key, up to and including @a
 /// last_key. The last page has no last key.
 struct object_page {
-    std::uint64_t revision = 0;
+    store_revision revision;
     std::string after_key;
     std::string last_key;
     std::vector<store_object> objects; ///< They may be newer than the revision, or removed after it.
@@ -71,10 +71,10 @@
 auto merge_list(object_replica& replica, const std::vector<object_page>& pages) -> std::vector<store_object>;
 
 /// Records that an answer mentioned @a revision.
-auto hear_revision(object_replica& replica, std::uint64_t revision) -> void;
+auto hear_revision(object_replica& replica, const store_revision& revision) -> void;
 
 /// Records that all changes up to @a revision are contained.
-auto set_complete_to(object_replica& replica, std::uint64_t revision) -> void;
+auto set_complete_to(object_replica& replica, const store_revision& revision) -> void;
 
 /// Whether an answer mentioned a revision up to which the copy is not complete.
 auto is_behind(const object_replica& replica) -> bool;
@@ -85,7 +85,7 @@
 /// What an instance that follows another one has to apply.
 struct replica_changes {
     bool is_whole = false; ///< The complete list, to be merged as a list of revision complete_to.
-    std::uint64_t complete_to = 0;
+    store_revision complete_to;
     std::uint64_t change_number = 0;
     std::uint64_t digest = 0;
     std::vector<const object_replica::entry*> entries; ///< Valid until the replica changes.
@@ -99,7 +99,7 @@
 
 /// An answer to the comparison of two copies: what an instance with other versions has to apply.
 struct replica_comparison {
-    std::uint64_t complete_to = 0;
+    store_revision complete_to;
     std::vector<store_object> differing; ///< Live objects with other versions, and removals.
     std::vector<std::string> same;       ///< Keys with the same version.
 };
--- a/src/libteaselcross/replication/store_object.h
+++ b/src/libteaselcross/replication/store_object.h
@@ -2,7 +2,8 @@
 
 // An object of a versioned store.
 
-#include <cstdint>
+#include "replication/store_revision.h"
+
 #include <string>
 
 namespace teaselcross {
@@ -11,7 +12,7 @@
     std::string key;
     /// Revision of the store at which the object last changed; of a removed object, one at which it is
     /// absent.
-    std::uint64_t version = 0;
+    store_revision version;
     std::string value;
     bool removed = false;
 };
--- a/src/teaselcross/control/controller_loop.cpp
+++ b/src/teaselcross/control/controller_loop.cpp
@@ -91,7 +91,7 @@
             const auto now = monotonic_now();
             m_next_lease_read = now + lease_read_period;
             if (reply.status == store_status::missing) {
-                on_lease_read(m_lease, std::nullopt, 0, now);
+                on_lease_read(m_lease, std::nullopt, {}, now);
             } else if (reply.status == store_status::ok) {
                 const auto document = nlohmann::json::parse(reply.objects.front().value, nullptr, false);
                 if (!document.is_discarded()) {
@@ -106,7 +106,7 @@
 
 auto controller_loop::write_lease(const lease_write& write) -> void {
     auto call = store_call{};
-    call.kind = write.expected_version == 0 ? store_call_kind::create : store_call_kind::update;
+    call.kind = write.expected_version.number == 0 ? store_call_kind::create : store_call_kind::update;
     call.key = object_keys::lease(m_instance.options.data_centre);
     call.value = to_json(write.object).dump();
     call.expected_version = write.expected_version;
@@ -221,7 +221,7 @@
     call.kind = expected_version == 0 ? store_call_kind::create : store_call_kind::update;
     call.key = key;
     call.value = value;
-    call.expected_version = expected_version;
+    call.expected_version = {.number = expected_version};
     return m_instance.store.call(
         std::move(call), m_instance.control_thread,
         [this, key, value = std::move(value), done](const store_reply& reply) {
@@ -261,7 +261,7 @@
     const auto log_moves = [&](const char* event, const std::vector<completed_move>& moves) {
         if (!moves.empty()) {
             log::info(event, {{"key", key},
-                              {"version", reply.version},
+                              {"version", reply.version.number},
                               {"count", moves.size()},
                               {"moves", describe(moves)}});
         }
--- a/src/teaselcross/control/object_mirror.cpp
+++ b/src/teaselcross/control/object_mirror.cpp
@@ -58,12 +58,12 @@
         auto received = partition_from_json(document);
         const auto id = partition_key{received.service, received.index};
         m_shared_partitions[id] = std::make_shared<const partition>(received);
-        m_partitions[id] = {.version = object.version, .object = std::move(received)};
+        m_partitions[id] = {.version = object.version.number, .object = std::move(received)};
         changed.partitions.push_back(id);
     } else if (key.starts_with(object_keys::delegation_prefix)) {
         auto table = delegation_table_from_json(document);
         const auto id = table.data_centre;
-        m_delegations[id] = {.version = object.version, .object = std::move(table)};
+        m_delegations[id] = {.version = object.version.number, .object = std::move(table)};
         changed.delegations.push_back(id);
     } else if (key.starts_with(object_keys::controller_prefix)) {
         m_controllers[data_centre_id{document.at("data_centre").get<std::string>()}] = {
--- a/src/teaselcross/gateway/cluster_state.cpp
+++ b/src/teaselcross/gateway/cluster_state.cpp
@@ -42,7 +42,8 @@
     return true;
 }
 
-auto cluster_state::put_target(const listed_target& listed, std::uint64_t revision, instant now) -> void {
+auto cluster_state::put_target(const listed_target& listed, const store_revision& revision, instant now)
+    -> void {
     auto& known = m_targets[listed.id];
     const auto is_new = known == nullptr;
     if (!is_new && (revision < known->revision || (revision == known->revision && known->listed))) {
@@ -193,12 +194,12 @@
     return found == m_out_of_service.end() ? std::nullopt : std::optional{found->second};
 }
 
-auto cluster_state::take_out_of_service(const data_centre_id& data_centre, std::uint64_t revision,
+auto cluster_state::take_out_of_service(const data_centre_id& data_centre, const store_revision& revision,
                                         instant not_before, instant now) -> void {
     const auto since = std::clamp(not_before, now - m_settings.evacuation, now);
     if (m_out_of_service.emplace(data_centre, since).second) {
         log::info("data_centre_out", {{"data_centre", data_centre},
-                                      {"revision", revision},
+                                      {"revision", to_string(revision)},
                                       {"age_at_most_ms", (now - since).count() / 1000}});
         notify_change();
     }
--- a/src/teaselcross/gateway/cluster_state.h
+++ b/src/teaselcross/gateway/cluster_state.h
@@ -44,7 +44,7 @@
     bool listed = true; ///< False after it has been removed from the platform's list.
     /// Set when the entry expired during a store outage; the target is removed if it is still missing then.
     std::optional<instant> missing_until;
-    std::uint64_t revision = 0; ///< Revision of the target's entry in the store.
+    store_revision revision; ///< Revision of the target's entry in the store.
 };
 
 /// A target that said itself that it is leaving, in an answer to a request.
@@ -65,7 +65,7 @@
     auto set_routes(route_table table) -> bool;
 
     /// Adds or updates a target. Ignores entries that are older than the known one.
-    auto put_target(const listed_target& listed, std::uint64_t revision, instant now) -> void;
+    auto put_target(const listed_target& listed, const store_revision& revision, instant now) -> void;
     /// Handles the removal of a target from the list. With a @a grace period it stays in use meanwhile and is
     /// kept unchanged if it is listed again.
     auto remove_target(const target_id& id, std::optional<duration> grace, instant now) -> void;
@@ -91,8 +91,8 @@
     /// Applies the entry of @a revision in the store that takes a data centre out of service. @a not_before
     /// is the last time at which there was no such entry; instant{} if there is none, as after a start: the
     /// entry may then be of any age, and the time that targets have left counts as over.
-    auto take_out_of_service(const data_centre_id& data_centre, std::uint64_t revision, instant not_before,
-                             instant now) -> void;
+    auto take_out_of_service(const data_centre_id& data_centre, const store_revision& revision,
+                             instant not_before, instant now) -> void;
     auto return_to_service(const data_centre_id& data_centre, instant now) -> void;
 
     auto keys(const service_id& service) const -> std::shared_ptr<const key_map>;
--- a/src/teaselcross/gateway/cluster_state_feed.cpp
+++ b/src/teaselcross/gateway/cluster_state_feed.cpp
@@ -47,7 +47,7 @@
     }
     auto parsed = platform::parse_routes(object.value);
     if (!parsed) {
-        log::warning("config_unusable", {{"revision", object.version}, {"fault", parsed.error()}});
+        log::warning("config_unusable", {{"revision", to_string(object.version)}, {"fault", parsed.error()}});
         return;
     }
     const auto limits = parsed->limits;
@@ -85,7 +85,8 @@
 }
 
 /// Returns false when the changes do not apply to the known revision of the map.
-auto cluster_state_feed::apply_key_map_changes(const store_object& object, std::uint64_t base) -> bool {
+auto cluster_state_feed::apply_key_map_changes(const store_object& object, const store_revision& base)
+    -> bool {
     const auto service = service_id{object.key.substr(object.key.find('/') + 1)};
     const auto known = m_cluster.keys(service);
     if (known != nullptr && known->revision >= object.version) {
@@ -107,7 +108,7 @@
 auto cluster_state_feed::key_map_events() -> follower_events {
     return {.changed = [this](const store_object& object, instant /*not_before*/) { apply_key_map(object); },
             .patched = [this](const store_object& object,
-                              std::uint64_t base) { return apply_key_map_changes(object, base); },
+                              const store_revision& base) { return apply_key_map_changes(object, base); },
             .patched_object = [this](const std::string& key) { return stored_key_map(key); }};
 }
 
@@ -132,7 +133,7 @@
 
 auto key_map_difference(const std::string& before, const std::string& after) -> std::optional<std::string> {
     const auto read = [](const std::string& text) {
-        return key_map_from_json(nlohmann::json::parse(text, nullptr, false), 0);
+        return key_map_from_json(nlohmann::json::parse(text, nullptr, false), {});
     };
     const auto earlier = read(before);
     const auto later = read(after);
--- a/src/teaselcross/gateway/cluster_state_feed.h
+++ b/src/teaselcross/gateway/cluster_state_feed.h
@@ -34,7 +34,7 @@
     auto apply_target(const store_object& object) -> void;
     auto apply_routes(const store_object& object) -> void;
     auto apply_key_map(const store_object& object) -> void;
-    auto apply_key_map_changes(const store_object& object, std::uint64_t base) -> bool;
+    auto apply_key_map_changes(const store_object& object, const store_revision& base) -> bool;
     auto stored_key_map(const std::string& key) const -> std::optional<store_object>;
 
     const gateway_settings& m_settings;
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -146,7 +146,7 @@
     const auto reply = co_await m_store.call_directly(std::move(call));
     const auto now = monotonic_now();
     if (reply.status == store_status::missing) {
-        on_lease_read(m_lease, std::nullopt, 0, now);
+        on_lease_read(m_lease, std::nullopt, {}, now);
         co_return true;
     }
     if (reply.status != store_status::ok) {
@@ -163,11 +163,11 @@
 }
 
 auto controller::write_lease(lease_write write) -> asio::awaitable<bool> {
-    auto call =
-        store_call{.kind = write.expected_version == 0 ? store_call_kind::create : store_call_kind::update,
-                   .key = platform::kinds::controller_lease,
-                   .value = to_json(write.object).dump(),
-                   .expected_version = write.expected_version};
+    auto call = store_call{.kind = write.expected_version.number == 0 ? store_call_kind::create
+                                                                      : store_call_kind::update,
+                           .key = platform::kinds::controller_lease,
+                           .value = to_json(write.object).dump(),
+                           .expected_version = write.expected_version};
     const auto reply = co_await m_store.call_directly(std::move(call));
     const auto now = monotonic_now();
     if (reply.status == store_status::ok) {
@@ -313,7 +313,7 @@
             if (m_is_controller) {
                 end_term("another instance has the lease");
             }
-            on_lease_read(m_lease, object, 0, monotonic_now());
+            on_lease_read(m_lease, object, {}, monotonic_now());
             m_lease.is_up_to_date = false; // Its version in the store is unknown.
             m_last_holder_answer = monotonic_now();
         }
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -212,7 +212,7 @@
 
 auto controller::write_key_map(service_id service, key_map map, std::uint64_t term) -> asio::awaitable<void> {
     const auto call =
-        store_call{.kind = map.revision == 0 ? store_call_kind::create : store_call_kind::update,
+        store_call{.kind = map.revision.number == 0 ? store_call_kind::create : store_call_kind::update,
                    .key = std::string{platform::kinds::key_maps} + "/" + service.value(),
                    .value = to_json(map).dump(),
                    .expected_version = map.revision};
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -236,7 +236,7 @@
     auto values = std::vector<gauge>{};
     for (const auto& [kind, state] : copies()) {
         values.push_back(
-            {.name = "copy_revision", .kind = kind, .value = static_cast<double>(state.complete_to)});
+            {.name = "copy_revision", .kind = kind, .value = static_cast<double>(state.complete_to.number)});
         if (state.age != duration::max()) {
             const auto seconds = std::chrono::duration<double>(state.age).count();
             values.push_back({.name = "copy_age_seconds", .kind = kind, .value = seconds});
@@ -280,11 +280,11 @@
         unconfirmed_since = now - state.age;
         log::warning("copy_unconfirmed", {{"kind", kind.kind()},
                                           {"age_ms", state.age.count() / 1000},
-                                          {"complete_to", state.complete_to}});
+                                          {"complete_to", to_string(state.complete_to)}});
     } else if (state.age < unconfirmed_log_age && unconfirmed_since) {
         log::info("copy_confirmed", {{"kind", kind.kind()},
                                      {"after_ms", (now - *unconfirmed_since).count() / 1000},
-                                     {"complete_to", state.complete_to}});
+                                     {"complete_to", to_string(state.complete_to)}});
         unconfirmed_since.reset();
     }
 }
--- a/src/teaselcross/gateway/replica_messages.cpp
+++ b/src/teaselcross/gateway/replica_messages.cpp
@@ -8,17 +8,21 @@
 
 using json = nlohmann::json;
 
+auto revision_from(const json& field) -> store_revision {
+    return decode_revision(field.get<std::uint64_t>());
+}
+
 // An object is an array of its key, version, value, whether it was removed, and the base of its value.
-auto encode_object(const store_object& object, std::uint64_t base) -> json {
-    return {object.key, object.version, object.value, object.removed, base};
+auto encode_object(const store_object& object, const store_revision& base) -> json {
+    return {object.key, encode_revision(object.version), object.value, object.removed, encode_revision(base)};
 }
 
 auto decode_object(const json& fields) -> relayed_object {
     return {.object = {.key = fields.at(0).get<std::string>(),
-                       .version = fields.at(1).get<std::uint64_t>(),
+                       .version = revision_from(fields.at(1)),
                        .value = fields.at(2).get<std::string>(),
                        .removed = fields.at(3).get<bool>()},
-            .base = fields.at(4).get<std::uint64_t>()};
+            .base = revision_from(fields.at(4))};
 }
 
 /// An age that is not known has no field.
@@ -64,10 +68,13 @@
     for (const auto& each : answer.objects) {
         objects.push_back(encode_object(each.object, each.base));
     }
-    auto document =
-        json{{"epoch", answer.epoch},         {"number", answer.number},  {"at", answer.complete_to},
-             {"digest", answer.digest},       {"whole", answer.is_whole}, {"objects", std::move(objects)},
-             {"held_us", answer.held.count()}};
+    auto document = json{{"epoch", answer.epoch},
+                         {"number", answer.number},
+                         {"at", encode_revision(answer.complete_to)},
+                         {"digest", answer.digest},
+                         {"whole", answer.is_whole},
+                         {"objects", std::move(objects)},
+                         {"held_us", answer.held.count()}};
     encode_grace(document, answer.outage_grace);
     encode_age(document, answer.age);
     return document.dump();
@@ -76,7 +83,7 @@
 auto encode(const std::string& kind, const object_versions& versions) -> std::string {
     auto fields = json::object();
     for (const auto& [key, version] : versions) {
-        fields[key] = version;
+        fields[key] = encode_revision(version);
     }
     return json{{"kind", kind}, {"versions", std::move(fields)}}.dump();
 }
@@ -84,9 +91,9 @@
 auto encode(const compare_answer& answer) -> std::string {
     auto objects = json::array();
     for (const auto& object : answer.comparison.differing) {
-        objects.push_back(encode_object(object, 0));
+        objects.push_back(encode_object(object, {}));
     }
-    auto document = json{{"at", answer.comparison.complete_to},
+    auto document = json{{"at", encode_revision(answer.comparison.complete_to)},
                          {"whole", false}, // Earlier builds read it.
                          {"objects", std::move(objects)},
                          {"present", answer.comparison.same}};
@@ -109,7 +116,7 @@
         json{{"digests", json::object()}, {"revisions", json::object()}, {"ages_us", json::object()}};
     for (const auto& [kind, state] : states) {
         document["digests"][kind] = state.digest;
-        document["revisions"][kind] = state.complete_to;
+        document["revisions"][kind] = encode_revision(state.complete_to);
         if (state.age != duration::max()) {
             document["ages_us"][kind] = state.age.count();
         }
@@ -124,7 +131,7 @@
     }
     const auto revisions = document.value("revisions", json::object()); // Earlier builds send digests only.
     for (const auto& [kind, revision] : revisions.items()) {
-        states[kind].complete_to = revision.get<std::uint64_t>();
+        states[kind].complete_to = revision_from(revision);
     }
     const auto ages = document.value("ages_us", json::object());
     for (const auto& [kind, age] : ages.items()) {
@@ -144,7 +151,7 @@
     return decode<follow_answer>(text, [](const json& document) {
         auto answer = follow_answer{.epoch = document.at("epoch").get<std::uint64_t>(),
                                     .number = document.at("number").get<std::uint64_t>(),
-                                    .complete_to = document.at("at").get<std::uint64_t>(),
+                                    .complete_to = revision_from(document.at("at")),
                                     .digest = document.value("digest", std::uint64_t{0}),
                                     .is_whole = document.at("whole").get<bool>(),
                                     .age = decode_age(document),
@@ -159,7 +166,11 @@
 
 auto decode_versions(const json& query) -> std::optional<object_versions> {
     try {
-        return query.at("versions").get<object_versions>();
+        auto versions = object_versions{};
+        for (const auto& [key, version] : query.at("versions").items()) {
+            versions.emplace(key, revision_from(version));
+        }
+        return versions;
     } catch (const json::exception&) {
         return std::nullopt;
     }
@@ -168,7 +179,7 @@
 auto decode_compare_answer(const std::string& text) -> std::optional<compare_answer> {
     return decode<compare_answer>(text, [](const json& document) {
         auto answer =
-            compare_answer{.comparison = {.complete_to = document.at("at").get<std::uint64_t>(),
+            compare_answer{.comparison = {.complete_to = revision_from(document.at("at")),
                                           .same = document.at("present").get<std::vector<std::string>>()},
                            .age = decode_age(document),
                            .outage_grace = decode_grace(document)};
--- a/src/teaselcross/gateway/replica_messages.h
+++ b/src/teaselcross/gateway/replica_messages.h
@@ -19,15 +19,15 @@
 
 /// An object in a relay's answer.
 struct relayed_object {
-    store_object object;    ///< Its value is a difference when there is a base.
-    std::uint64_t base = 0; ///< Version from which the difference was computed; 0 for a whole value.
+    store_object object; ///< Its value is a difference when there is a base.
+    store_revision base; ///< Version from which the difference was computed; 0 for a whole value.
 };
 
 /// The answer to a follow_query.
 struct follow_answer {
     std::uint64_t epoch = 0;
     std::uint64_t number = 0;
-    std::uint64_t complete_to = 0;
+    store_revision complete_to;
     std::uint64_t digest = 0; ///< That of the relay's copy.
     bool is_whole = false;    ///< The complete list, not the changes since the query's number.
     std::vector<relayed_object> objects;
@@ -48,7 +48,7 @@
 /// State of an instance's copy of the objects of one kind.
 struct copy_state {
     std::uint64_t digest = 0;
-    std::uint64_t complete_to = 0;  ///< All changes up to this revision of the store are contained.
+    store_revision complete_to;     ///< All changes up to this revision of the store are contained.
     duration age = duration::max(); ///< As in follow_answer.
 };
 using copy_states = std::map<std::string, copy_state>; ///< By kind.
--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -49,10 +49,10 @@
     duration retry_after{};
     target_id last_target;
     /// Revision of the key map that led to a target without the key.
-    std::optional<std::uint64_t> stale_revision;
+    std::optional<store_revision> stale_revision;
     bool is_head_request = false;
     target_id owner;                 ///< Owner of its key, as last known.
-    std::uint64_t keys_revision = 0; ///< Revision of the key map that names this owner.
+    store_revision keys_revision;    ///< Revision of the key map that names this owner.
     bool was_refused_before = false; ///< The caller is retrying after a refusal.
 };
 
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -329,7 +329,7 @@
                              {"target", current.last_target},
                              {"key", current.caller.key ? std::to_string(*current.caller.key) : "none"},
                              {"owner", current.owner},
-                             {"keys_revision", current.keys_revision},
+                             {"keys_revision", to_string(current.keys_revision)},
                              {"retry_after_ms", retry_after.value_or(duration::zero()).count() / 1000},
                              {"ms", (now - current.arrived).count() / 1000}});
     auto answer = platform::make_refusal(status, current.caller.attempt_id, retry_after);
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -324,7 +324,7 @@
         current.tried.clear();
         if (end == attempt_result::misdirected) {
             const auto map = m_cluster.keys(current.service);
-            current.stale_revision = map == nullptr ? 0 : map->revision;
+            current.stale_revision = map == nullptr ? store_revision{} : map->revision;
         }
     }
     if (current.sends == 0) {
--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -101,11 +101,11 @@
     if (was_live == object.removed) {
         log::info(object.removed ? "object_removed" : "object_added",
                   {{"object", object.key},
-                   {"version", object.version},
+                   {"version", to_string(object.version)},
                    {"source", name_in(change_source_names, origin.source)},
                    {"from", origin.from},
-                   {"source_revision", origin.revision},
-                   {"complete_to", m_replica.complete_to},
+                   {"source_revision", to_string(origin.revision)},
+                   {"complete_to", to_string(m_replica.complete_to)},
                    {"copy_age_ms", m_confirmed_at == instant{} ? -1 : age().count() / 1000}});
     }
     m_events.changed(object, m_confirmed_at);
@@ -118,11 +118,11 @@
         report_change(object, was_live, origin);
     } else if (result == merge_result::removed_later) {
         log::info("object_refused", {{"object", object.key},
-                                     {"version", object.version},
+                                     {"version", to_string(object.version)},
                                      {"source", name_in(change_source_names, origin.source)},
                                      {"from", origin.from},
-                                     {"source_revision", origin.revision},
-                                     {"complete_to", m_replica.complete_to}});
+                                     {"source_revision", to_string(origin.revision)},
+                                     {"complete_to", to_string(m_replica.complete_to)}});
     }
 }
 
@@ -131,9 +131,9 @@
         log::info("list_too_old", {{"kind", m_options.kind},
                                    {"source", name_in(change_source_names, origin.source)},
                                    {"from", origin.from},
-                                   {"source_revision", origin.revision},
-                                   {"complete_to", m_replica.complete_to},
-                                   {"newest_heard", m_replica.newest_heard}});
+                                   {"source_revision", to_string(origin.revision)},
+                                   {"complete_to", to_string(m_replica.complete_to)},
+                                   {"newest_heard", to_string(m_replica.newest_heard)}});
     }
     const auto live_before = live_versions(m_replica);
     for (const auto& change : merge_list(m_replica, pages)) {
@@ -206,7 +206,7 @@
             .kind = store_call_kind::watch, .key = m_options.kind, .after = from, .wait = watch_timeout};
         const auto reply = co_await m_store.read(std::move(call));
         if (reply.status == store_status::history_lost) {
-            log::info("store_history_lost", {{"kind", m_options.kind}, {"after", from}});
+            log::info("store_history_lost", {{"kind", m_options.kind}, {"after", to_string(from)}});
             co_return;
         }
         if (reply.status != store_status::ok) {
@@ -334,7 +334,7 @@
     }
     auto all_applied = true;
     for (const auto& each : answer.objects) {
-        if (each.base == 0) {
+        if (each.base == store_revision{}) {
             apply_object(each.object, origin);
         } else if (!apply_patch(each)) {
             all_applied = false;
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -30,8 +30,8 @@
 /// The answer that reported a change.
 struct change_origin {
     change_source source = change_source::watch;
-    std::string from;           ///< Address of the instance that answered; empty for the store.
-    std::uint64_t revision = 0; ///< Store revision up to which the answering side knew all changes.
+    std::string from;        ///< Address of the instance that answered; empty for the store.
+    store_revision revision; ///< Store revision up to which the answering side knew all changes.
     /// All changes that were acknowledged before this time are contained in the answer.
     instant as_of{};
 };
@@ -43,7 +43,7 @@
     std::function<void(const store_object&, instant not_before)> changed;
     /// One object changed from version @a base; its value holds only the difference. Returns false when the
     /// difference does not apply to the known version. Needed only for kinds with a difference function.
-    std::function<bool(const store_object&, std::uint64_t base)> patched;
+    std::function<bool(const store_object&, const store_revision& base)> patched;
     /// Returns an object that was patched, with its present version and value. Needed only for kinds with a
     /// difference function.
     std::function<std::optional<store_object>(const std::string& key)> patched_object;
@@ -142,7 +142,7 @@
     std::uint64_t m_epoch;          ///< Tells change numbers of different processes apart.
     /// Revision from which the store is watched. A watch that ends without changes moves it, but says nothing
     /// about changes that the store withheld.
-    std::uint64_t m_watched_from = 0;
+    store_revision m_watched_from;
     std::uint64_t m_notified_number = 0; ///< Number of the change up to which followers were woken.
     instant m_confirmed_at{};
     instant m_last_change{};
--- a/src/teaselcross/peer/conversions.cpp
+++ b/src/teaselcross/peer/conversions.cpp
@@ -114,14 +114,17 @@
 auto to_wire(const store_object& from) -> wire::StoreObject {
     auto to = wire::StoreObject{};
     to.set_key(from.key);
-    to.set_version(from.version);
+    to.set_version(encode_revision(from.version));
     to.set_value(from.value);
     to.set_removed(from.removed);
     return to;
 }
 
 auto from_wire(const wire::StoreObject& from) -> store_object {
-    return {.key = from.key(), .version = from.version(), .value = from.value(), .removed = from.removed()};
+    return {.key = from.key(),
+            .version = decode_revision(from.version()),
+            .value = from.value(),
+            .removed = from.removed()};
 }
 
 } // namespace teaselcross
--- a/src/teaselcross/store/store_call.h
+++ b/src/teaselcross/store/store_call.h
@@ -19,11 +19,12 @@
     store_call_kind kind = store_call_kind::get;
     std::string key; ///< The key, or the key prefix for list and watch.
     std::string value;
-    std::uint64_t expected_version = 0; ///< For update.
-    std::uint64_t after = 0;            ///< For watch: reports changes after this revision.
-    duration wait{};                    ///< For watch: how long the store may wait for a change.
-    std::string after_key;              ///< For list: continues after this key.
-    bool allow_stale = false;           ///< For get and list: accepts data that is seconds old.
+    /// For update and remove: the version that the object must have; number 0 for any.
+    store_revision expected_version;
+    store_revision after;     ///< For watch: reports changes after this revision.
+    duration wait{};          ///< For watch: how long the store may wait for a change.
+    std::string after_key;    ///< For list: continues after this key.
+    bool allow_stale = false; ///< For get and list: accepts data that is seconds old.
 };
 
 enum class store_status {
@@ -39,8 +40,10 @@
 
 struct store_reply {
     store_status status = store_status::unavailable;
-    std::uint64_t version = 0; ///< Version of the object, or the store's revision for list and watch.
+    store_revision version; ///< Version of the object, or the store's revision for list and watch.
     std::vector<store_object> objects;
+    /// Era of the store that answered, also in the versions above; 0 if it does not report eras.
+    std::uint64_t era = 0;
     bool more = false; ///< For list: there are more objects after the last one.
     std::string body;  ///< For instances: the response body.
     instant started{}; ///< Start time of the call.
--- a/src/teaselcross/store/store_client.cpp
+++ b/src/teaselcross/store/store_client.cpp
@@ -42,7 +42,7 @@
     if (call.kind == store_call_kind::create) {
         request.set(http::field::if_none_match, "*");
     } else if (call.kind == store_call_kind::update) {
-        request.set(http::field::if_match, "\"" + std::to_string(call.expected_version) + "\"");
+        request.set(http::field::if_match, "\"" + std::to_string(call.expected_version.number) + "\"");
     }
     request.body() = call.value;
     request.prepare_payload();
@@ -63,10 +63,10 @@
         reply.status = store_status::unavailable;
         return;
     }
-    reply.version = document.value("revision", std::uint64_t{0});
+    reply.version.number = document.value("revision", std::uint64_t{0});
     for (const auto& entry : document.at("objects")) {
         reply.objects.push_back({.key = entry.at("key").get<std::string>(),
-                                 .version = entry.at("version").get<std::uint64_t>(),
+                                 .version = {.number = entry.at("version").get<std::uint64_t>()},
                                  .value = entry.value("value", std::string{}),
                                  .removed = entry.value("removed", false)});
     }
@@ -99,7 +99,7 @@
         read_list(response.body(), reply);
         break;
     case store_call_kind::get:
-        reply.version = parse_etag_version(response);
+        reply.version.number = parse_etag_version(response);
         reply.objects.push_back(
             {.key = call.key, .version = reply.version, .value = response.body(), .removed = false});
         break;
@@ -107,7 +107,7 @@
         reply.body = response.body();
         break;
     default:
-        reply.version = parse_etag_version(response);
+        reply.version.number = parse_etag_version(response);
         break;
     }
 }
