Use revisions with an era in the tests

Changed: revisions in the tests are store_revision, each with the number that it had. The store of the exploration of orders keeps its changes by era, so far with one era. No check is weaker. The older store client, the mirror of its objects and the writer of configurations, which did not compile yet, use the type too.

--- a/src/teaselcross/control/sync_loop.h
+++ b/src/teaselcross/control/sync_loop.h
@@ -51,7 +51,7 @@
     bool m_is_relay = false;
     bool m_request_pending = false;
     bool m_snapshot_read = false; ///< All shared objects have been read from the store once.
-    std::uint64_t m_revision = 0;
+    store_revision m_revision;
     std::uint32_t m_failures = 0;
     instant m_last_contact{};
     instance_id m_source;
--- a/src/teaselcross/operators/patch_flow.cpp
+++ b/src/teaselcross/operators/patch_flow.cpp
@@ -13,7 +13,7 @@
 
 struct stored_configuration {
     configuration config;
-    std::uint64_t object_version = 0; ///< 0 when no configuration is stored yet.
+    store_revision object_version; ///< Number 0 when no configuration is stored yet.
 };
 
 auto read_current(const store_caller& store)
@@ -85,7 +85,7 @@
         }
         co_await write_history(store, current->config, 1);
         auto call = store_call{};
-        call.kind = current->object_version == 0 ? store_call_kind::create : store_call_kind::update;
+        call.kind = current->object_version.number == 0 ? store_call_kind::create : store_call_kind::update;
         call.key = object_keys::configuration;
         call.value = to_json(*next).dump();
         call.expected_version = current->object_version;
--- a/src/teaselcross/store/store_client.cpp
+++ b/src/teaselcross/store/store_client.cpp
@@ -20,7 +20,7 @@
         return "/objects?prefix=" + call.key;
     case store_call_kind::watch: {
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(call.wait).count();
-        return "/objects?prefix=" + call.key + "&after=" + std::to_string(call.after) +
+        return "/objects?prefix=" + call.key + "&after=" + std::to_string(call.after.number) +
                "&wait_ms=" + std::to_string(wait);
     }
     case store_call_kind::instances:
--- a/tests/balance/range_balance_test.cpp
+++ b/tests/balance/range_balance_test.cpp
@@ -23,7 +23,7 @@
     set_holders(state, holders);
     EXPECT_TRUE(assign_initial_ranges(state));
     auto map = next_write(state);
-    on_written(state, *map, 1);
+    on_written(state, *map, {.number = 1});
     for (const auto& order : due_commands(state, start)) {
         on_command_finished(state, order, command_result::done, {}, start, start);
     }
--- a/tests/config/patch_flow_test.cpp
+++ b/tests/config/patch_flow_test.cpp
@@ -68,8 +68,8 @@
         if (create ? exists : !exists || found->second.version != call.expected_version) {
             return {.status = store_status::conflict};
         }
-        m_objects[call.key] = {.key = call.key, .version = ++m_version, .value = call.value};
-        return {.status = store_status::ok, .version = m_version};
+        m_objects[call.key] = {.key = call.key, .version = {.number = ++m_version}, .value = call.value};
+        return {.status = store_status::ok, .version = {.number = m_version}};
     }
 
     auto write_concurrently() -> void {
@@ -81,7 +81,7 @@
             current, {.id = "racer", .base = current.version, .changes = nlohmann::json::object()});
         if (next) {
             auto& object = m_objects.at(object_keys::configuration);
-            object = {.key = object.key, .version = ++m_version, .value = to_json(*next).dump()};
+            object = {.key = object.key, .version = {.number = ++m_version}, .value = to_json(*next).dump()};
         }
     }
 
--- a/tests/gateway/cluster_state_test.cpp
+++ b/tests/gateway/cluster_state_test.cpp
@@ -25,8 +25,8 @@
 };
 
 TEST_F(cluster_state_targets, target_that_starts_leaving_gets_full_drain_time) {
-    m_cluster.put_target({.id = target_id{"t"}}, 1, start);
-    m_cluster.put_target({.id = target_id{"t"}, .leaving = true}, 2, start + seconds{1});
+    m_cluster.put_target({.id = target_id{"t"}}, {.number = 1}, start);
+    m_cluster.put_target({.id = target_id{"t"}, .leaving = true}, {.number = 2}, start + seconds{1});
     EXPECT_EQ(leaving_since(), start + seconds{1});
 }
 
@@ -34,14 +34,14 @@
 // the time of its first read of the list for the time at which the target had started to leave (found by the
 // soak test, seed 2).
 TEST_F(cluster_state_targets, target_first_listed_as_leaving_gets_no_drain_time) {
-    m_cluster.put_target({.id = target_id{"t"}, .leaving = true}, 1, start);
+    m_cluster.put_target({.id = target_id{"t"}, .leaving = true}, {.number = 1}, start);
     EXPECT_LE(leaving_since(), start - m_settings.drain);
 }
 
 class cluster_state_out_of_service : public cluster_state_targets {
 protected:
     auto take_out(instant not_before) -> std::optional<instant> {
-        m_cluster.take_out_of_service(m_data_centre, 1, not_before, start);
+        m_cluster.take_out_of_service(m_data_centre, {.number = 1}, not_before, start);
         return m_cluster.out_of_service_since(m_data_centre);
     }
 
--- a/tests/gateway/request_router_test.cpp
+++ b/tests/gateway/request_router_test.cpp
@@ -43,7 +43,7 @@
         table.version = 2;
         table.services[service_id{"s"}].keyed = true;
         m_cluster.set_routes(std::move(table));
-        auto map = key_map{.revision = 1};
+        auto map = key_map{.revision = {.number = 1}};
         map.ranges.push_back({.fence = 1, .holder = {.id = target_id{owner}, .start_time_ms = 1}});
         m_cluster.set_keys(service_id{"s"}, std::move(map));
     }
@@ -56,7 +56,7 @@
                               .port = target.port(),
                               .slots = 4,
                               .start_time_ms = start_time_ms},
-                             revision, monotonic_now());
+                             {.number = revision}, monotonic_now());
     }
 
     /// Sends one request on @a client and returns the response to it.
--- a/tests/gateway/route_table_test.cpp
+++ b/tests/gateway/route_table_test.cpp
@@ -29,10 +29,10 @@
                           .holder = {.id = target_id{"b"}, .start_time_ms = 2},
                           .next_fence = 9,
                           .next = {.id = target_id{"a"}, .start_time_ms = 1}});
-    const auto read = key_map_from_json(nlohmann::json::parse(to_json(map).dump()), 5);
+    const auto read = key_map_from_json(nlohmann::json::parse(to_json(map).dump()), {.number = 5});
     ASSERT_TRUE(read) << read.error();
     EXPECT_EQ(read->ranges, map.ranges);
-    EXPECT_EQ(read->revision, 5U);
+    EXPECT_EQ(read->revision, store_revision{.number = 5});
     EXPECT_EQ(find_range(*read, 99)->holder.id, target_id{"a"});
     EXPECT_TRUE(find_range(*read, 100)->is_moving());
 }
@@ -40,7 +40,7 @@
 TEST(key_map, a_map_with_a_gap_is_rejected) {
     auto map = key_map{.fences_used = 1};
     map.ranges.push_back({.first = 1, .last = last_shard_key, .fence = 1, .holder = {.id = target_id{"a"}}});
-    EXPECT_FALSE(key_map_from_json(to_json(map), 1));
+    EXPECT_FALSE(key_map_from_json(to_json(map), {.number = 1}));
 }
 
 } // namespace teaselcross::test
--- a/tests/gateway/writer_relay_test.cpp
+++ b/tests/gateway/writer_relay_test.cpp
@@ -63,7 +63,7 @@
     auto set_writer(std::optional<instance_record> writer) -> void { m_writer = std::move(writer); }
     auto write(int number) -> void {
         m_follower.apply_own_write({.key = std::string{key_maps} + "/s",
-                                    .version = static_cast<std::uint64_t>(100 + number),
+                                    .version = {.number = static_cast<std::uint64_t>(100 + number)},
                                     .value = to_json(make_map(number)).dump()},
                                    monotonic_now());
     }
@@ -199,10 +199,10 @@
                                      : encode(follow_answer{
                                            .epoch = 1,
                                            .number = 1,
-                                           .complete_to = 50,
+                                           .complete_to = {.number = 50},
                                            .is_whole = true,
                                            .objects = {{.object = {.key = std::string{key_maps} + "/s",
-                                                                   .version = 50,
+                                                                   .version = {.number = 50},
                                                                    .value = to_json(make_map(3)).dump()}}}});
                       }};
     auto other = instance{context, "other", "west", store.address()};
--- a/tests/keyspace/key_map_test.cpp
+++ b/tests/keyspace/key_map_test.cpp
@@ -36,10 +36,10 @@
     const auto after = random_map();
     const auto parsed = key_map_changes_from_json(to_json(changes_between(before, after)));
     RC_ASSERT(parsed.has_value());
-    const auto applied = apply_changes(before, *parsed, 5);
+    const auto applied = apply_changes(before, *parsed, {.number = 5});
     RC_ASSERT(applied.has_value());
     RC_ASSERT(applied->ranges == after.ranges);
-    RC_ASSERT(applied->revision == 5U);
+    RC_ASSERT(applied->revision == store_revision{.number = 5});
 }
 
 TEST(key_map, one_moved_range_is_the_only_change) {
@@ -56,7 +56,7 @@
 TEST(key_map, changes_for_a_different_map_are_rejected) {
     const auto before = key_map{.ranges = {{.first = 0, .last = last_shard_key}}};
     const auto changes = key_map_changes{.ranges = {{.first = 10, .last = 20}}};
-    EXPECT_FALSE(apply_changes(before, changes, 2).has_value());
+    EXPECT_FALSE(apply_changes(before, changes, {.number = 2}).has_value());
 }
 
 TEST(key_map, malformed_changes_are_rejected) {
--- a/tests/ownership/lease_test.cpp
+++ b/tests/ownership/lease_test.cpp
@@ -19,9 +19,9 @@
 /// A candidate that acquired the free lease at the start.
 auto holder() -> lease_candidate {
     auto state = candidate("a");
-    on_lease_read(state, std::nullopt, 0, start);
+    on_lease_read(state, std::nullopt, {.number = 0}, start);
     const auto write = next_lease_write(state, true, false, start);
-    on_lease_written(state, write->object, 1, start);
+    on_lease_written(state, write->object, {.number = 1}, start);
     return state;
 }
 
@@ -36,7 +36,7 @@
 TEST(lease, another_candidate_acquires_it_only_after_it_expired) {
     const auto first = holder();
     auto second = candidate("b");
-    on_lease_read(second, first.last_known, 1, start);
+    on_lease_read(second, first.last_known, {.number = 1}, start);
     EXPECT_FALSE(next_lease_write(second, true, false, start + std::chrono::milliseconds{2000}));
     const auto write = next_lease_write(second, true, false, start + std::chrono::milliseconds{2200});
     ASSERT_TRUE(write);
@@ -47,23 +47,23 @@
 TEST(lease, a_renewal_restarts_the_wait) {
     const auto first = holder();
     auto second = candidate("b");
-    on_lease_read(second, first.last_known, 1, start);
+    on_lease_read(second, first.last_known, {.number = 1}, start);
     auto renewed = *first.last_known;
     ++renewed.renewals;
-    on_lease_read(second, renewed, 2, start + std::chrono::milliseconds{1500});
+    on_lease_read(second, renewed, {.number = 2}, start + std::chrono::milliseconds{1500});
     EXPECT_FALSE(next_lease_write(second, true, false, start + std::chrono::milliseconds{3000}));
 }
 
 TEST(lease, the_term_of_a_dead_holder_is_not_awaited) {
     const auto first = holder();
     auto second = candidate("b");
-    on_lease_read(second, first.last_known, 1, start);
+    on_lease_read(second, first.last_known, {.number = 1}, start);
     EXPECT_TRUE(next_lease_write(second, true, true, start + std::chrono::milliseconds{300}));
 }
 
 TEST(lease, a_write_with_unknown_outcome_does_not_acquire_the_lease) {
     auto state = candidate("a");
-    on_lease_read(state, std::nullopt, 0, start);
+    on_lease_read(state, std::nullopt, {.number = 0}, start);
     static_cast<void>(next_lease_write(state, true, false, start));
     on_lease_write_failed(state, start);
     EXPECT_FALSE(holds_lease(state, start));
--- a/tests/ownership/range_grantor_test.cpp
+++ b/tests/ownership/range_grantor_test.cpp
@@ -30,7 +30,7 @@
 /// Writes the map, if it changed, and reports the write as successful.
 auto write_now(range_grantor& state) -> void {
     if (auto map = next_write(state)) {
-        on_written(state, *map, map->revision + 1);
+        on_written(state, *map, {.number = map->revision.number + 1});
     }
 }
 
@@ -147,7 +147,7 @@
     ASSERT_TRUE(map);
     auto taken = range_grantor{};
     auto now = start + milliseconds{1500};
-    map->revision = 7;
+    map->revision = {.number = 7};
     const auto moves_allowed_from = now + milliseconds{5000};
     take_over(taken, *map, moves_allowed_from, now);
     // The next holder, which may already have the keys, no longer exists.
@@ -270,7 +270,7 @@
         }
         if (store_answers) {
             if (auto map = next_write(m_state)) {
-                map->revision = m_record.revision + 1;
+                map->revision = {.number = m_record.revision.number + 1};
                 m_record = *map;
                 on_written(m_state, *map, map->revision);
             }
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -225,7 +225,7 @@
 
 TEST(platform_store, replies_are_decoded_and_objects_with_an_invalid_specification_are_kept) {
     const auto& dialect = platform::platform_dialect;
-    const auto call = store_call{.kind = store_call_kind::watch, .key = "servers", .after = 530};
+    const auto call = store_call{.kind = store_call_kind::watch, .key = "servers", .after = {.number = 530}};
     EXPECT_EQ(dialect.make_request(call, "store").target(), "/-/objects/servers?watch=530&wait-ms=0");
     auto answer = http_response{http::status::ok, 11};
     answer.body() = R"({"at":533,"events":[
@@ -238,11 +238,11 @@
     ASSERT_EQ(reply.objects.size(), 2U);
     EXPECT_TRUE(reply.objects[0].removed);
     EXPECT_EQ(reply.objects[1].key, "servers/i-2");
-    EXPECT_EQ(reply.version, 533U);
+    EXPECT_EQ(reply.version, store_revision{.number = 533});
     dialect.read_reply(call, http_response{http::status::gone, 11}, reply);
     EXPECT_EQ(reply.status, store_status::history_lost);
-    const auto write =
-        store_call{.kind = store_call_kind::update, .key = "k/n", .value = "{}", .expected_version = 4};
+    const auto write = store_call{
+        .kind = store_call_kind::update, .key = "k/n", .value = "{}", .expected_version = {.number = 4}};
     EXPECT_EQ(json::parse(dialect.make_request(write, "store").body())["metadata"]["revision"], 4);
     dialect.read_reply(write, http_response{http::status::service_unavailable, 11}, reply);
     EXPECT_EQ(reply.status, store_status::unavailable) << "the call did not take effect";
--- a/tests/replication/object_replica_test.cpp
+++ b/tests/replication/object_replica_test.cpp
@@ -7,17 +7,21 @@
 namespace teaselcross {
 namespace {
 
+auto at(std::uint64_t number) -> store_revision {
+    return {.number = number};
+}
+
 auto live(std::string key, std::uint64_t version) -> store_object {
-    return {.key = std::move(key), .version = version, .value = "{}"};
+    return {.key = std::move(key), .version = {.number = version}, .value = "{}"};
 }
 
 auto removed(std::string key, std::uint64_t version) -> store_object {
-    return {.key = std::move(key), .version = version, .removed = true};
+    return {.key = std::move(key), .version = {.number = version}, .removed = true};
 }
 
 /// A list of one page.
 auto list_at(std::uint64_t revision, std::vector<store_object> objects) -> std::vector<object_page> {
-    return {{.revision = revision, .objects = std::move(objects)}};
+    return {{.revision = {.number = revision}, .objects = std::move(objects)}};
 }
 
 auto knows(const object_replica& replica, const std::string& key) -> bool {
@@ -39,7 +43,7 @@
     merge_list(replica, list_at(196, {live("a", 196)}));
     EXPECT_TRUE(merge_list(replica, list_at(180, {})).empty());
     EXPECT_TRUE(knows(replica, "a"));
-    EXPECT_EQ(replica.complete_to, 196);
+    EXPECT_EQ(replica.complete_to, at(196));
 }
 
 // The same while the copy is not complete up to the entry's version: it came from a comparison.
@@ -49,7 +53,7 @@
     merge_object(replica, live("a", 196));
     merge_list(replica, list_at(180, {}));
     EXPECT_TRUE(knows(replica, "a"));
-    EXPECT_EQ(replica.complete_to, 180);
+    EXPECT_EQ(replica.complete_to, at(180));
     EXPECT_TRUE(is_behind(replica));
 }
 
@@ -58,9 +62,9 @@
 TEST(object_replica, an_object_missing_from_a_later_page_is_absent_at_the_revision_of_that_page) {
     auto replica = object_replica{};
     merge_list(replica, list_at(10, {live("a", 3), live("c", 4)}));
-    merge_list(replica, {{.revision = 20, .last_key = "b", .objects = {live("a", 3)}},
-                         {.revision = 25, .after_key = "b"}});
-    EXPECT_EQ(replica.complete_to, 20);
+    merge_list(replica, {{.revision = at(20), .last_key = "b", .objects = {live("a", 3)}},
+                         {.revision = at(25), .after_key = "b"}});
+    EXPECT_EQ(replica.complete_to, at(20));
     merge_list(replica, list_at(22, {live("a", 3), live("c", 4)}));
     EXPECT_FALSE(knows(replica, "c"));
 }
@@ -88,7 +92,7 @@
     merge_list(replica, list_at(10, {live("a", 3)}));
     merge_object(replica, removed("a", 12));
     EXPECT_EQ(merge_object(replica, live("a", 11)), merge_result::removed_later);
-    set_complete_to(replica, 12);
+    set_complete_to(replica, at(12));
     EXPECT_TRUE(replica.entries.empty());
 }
 
@@ -122,7 +126,7 @@
     const auto versions = live_versions(replica);
     const auto objects = objects_to_merge(replica, compare_replicas(other, versions));
     ASSERT_EQ(objects.size(), 3);
-    EXPECT_EQ(objects.at(0).version, 30);
+    EXPECT_EQ(objects.at(0).version, at(30));
     EXPECT_TRUE(objects.at(1).removed);
     EXPECT_EQ(objects.at(2).key, "c");
     EXPECT_TRUE(objects.at(2).removed);
@@ -163,10 +167,10 @@
     merge_list(replica, list_at(10, {live("a", 3), live("b", 4), live("c", 5)}));
     const auto number = replica.change_number;
     merge_object(replica, removed("a", 11));
-    set_complete_to(replica, 11);
+    set_complete_to(replica, at(11));
     EXPECT_EQ(changes_since(replica, number).entries.size(), 1);
     merge_object(replica, removed("b", 12));
-    set_complete_to(replica, 12);
+    set_complete_to(replica, at(12));
     EXPECT_TRUE(changes_since(replica, number).is_whole);
     EXPECT_EQ(changes_since(replica, std::nullopt).entries.size(), 1);
 }
--- a/tests/replication/replica_exploration_test.cpp
+++ b/tests/replication/replica_exploration_test.cpp
@@ -26,47 +26,61 @@
         .name = "evacuations", .keys = 2, .is_removed = true, .is_patched = false, .removals_kept = 1},
     kind_profile{.name = "key maps", .keys = 2, .is_removed = false, .is_patched = true, .removals_kept = 2}};
 
-/// The store: every change with its revision.
+/// The store: every change of each era with its revision.
 class store_history {
 public:
     explicit store_history(const kind_profile& kind) : m_kind{kind} {}
 
     auto change(std::mt19937_64& random) -> void {
-        m_revision += 1 + random() % 3; // Objects of other kinds change as well.
+        m_revision.number += 1 + random() % 3; // Objects of other kinds change as well.
         const auto key = "k" + std::to_string(random() % m_kind.keys);
-        const auto removes = m_kind.is_removed && version_at(key, m_revision) != 0 && random() % 3 == 0;
-        m_changes[key].push_back({.key = key, .version = m_revision, .removed = removes});
+        const auto removes =
+            m_kind.is_removed && version_at(key, m_revision).number != 0 && random() % 3 == 0;
+        write(key, removes, key + "#" + std::to_string(++m_writes));
     }
 
-    auto revision() const -> std::uint64_t { return m_revision; }
+    auto revision() const -> store_revision { return m_revision; }
 
-    /// Version of the live object at @a revision; 0 if there is none.
-    auto version_at(const std::string& key, std::uint64_t revision) const -> std::uint64_t {
-        auto version = std::uint64_t{0};
-        for (const auto& change : changes(key)) {
+    /// The last revision of @a era.
+    auto end_of(std::uint64_t era) const -> std::uint64_t {
+        const auto found = m_ends.find(era);
+        return found == m_ends.end() ? m_revision.number : found->second;
+    }
+
+    /// The live object at @a revision; none if there is none.
+    auto object_at(const std::string& key, const store_revision& revision) const
+        -> std::optional<store_object> {
+        auto live = std::optional<store_object>{};
+        for (const auto& change : changes(key, revision.era)) {
             if (change.version <= revision) {
-                version = change.removed ? 0 : change.version;
+                live = change.removed ? std::optional<store_object>{} : change;
             }
         }
-        return version;
+        return live;
     }
 
-    auto list_at(std::uint64_t revision) const -> std::vector<store_object> {
+    /// Version of the live object at @a revision; number 0 if there is none.
+    auto version_at(const std::string& key, const store_revision& revision) const -> store_revision {
+        const auto object = object_at(key, revision);
+        return object ? object->version : store_revision{};
+    }
+
+    auto list_at(const store_revision& revision) const -> std::vector<store_object> {
         auto list = std::vector<store_object>{};
-        for (const auto& [key, changes] : m_changes) {
-            if (const auto version = version_at(key, revision); version != 0) {
-                list.push_back({.key = key, .version = version, .value = value_of(key, version)});
+        for (const auto& key : keys()) {
+            if (auto object = object_at(key, revision)) {
+                list.push_back(std::move(*object));
             }
         }
         return list;
     }
 
-    /// Changes after @a from, up to @a to, in their order.
-    auto events(std::uint64_t from, std::uint64_t to) const -> std::vector<store_object> {
+    /// Changes after @a from, up to the present, in their order. @a from is a number of the present era.
+    auto events_after(std::uint64_t from) const -> std::vector<store_object> {
         auto found = std::vector<store_object>{};
-        for (const auto& [key, changes] : m_changes) {
-            for (const auto& change : changes) {
-                if (change.version > from && change.version <= to) {
+        for (const auto& key : keys()) {
+            for (const auto& change : changes(key, m_revision.era)) {
+                if (change.version.number > from) {
                     found.push_back(change);
                 }
             }
@@ -78,33 +92,46 @@
 
     auto keys() const -> std::vector<std::string> {
         auto names = std::vector<std::string>{};
-        for (const auto& [key, changes] : m_changes) {
-            names.push_back(key);
+        for (auto key = 0U; key < m_kind.keys; ++key) {
+            names.push_back("k" + std::to_string(key));
         }
         return names;
     }
 
-    /// Whether @a key changed after @a from, up to @a to.
-    auto has_change(const std::string& key, std::uint64_t from, std::uint64_t to) const -> bool {
-        const auto& list = changes(key);
-        return std::any_of(list.begin(), list.end(),
-                           [&](const auto& change) { return change.version > from && change.version <= to; });
+    /// Whether @a key changed after @a from, up to @a to. A restore changes all versions.
+    auto has_change(const std::string& key, const store_revision& from, const store_revision& to) const
+        -> bool {
+        const auto& list = changes(key, to.era);
+        return from.era < to.era || std::any_of(list.begin(), list.end(), [&](const auto& change) {
+                   return change.version > from && change.version <= to;
+               });
     }
 
-    static auto value_of(const std::string& key, std::uint64_t version) -> std::string {
-        return key + "@" + std::to_string(version);
+private:
+    using key_changes = std::map<std::string, std::vector<store_object>>;
+
+    auto write(const std::string& key, bool removes, std::string value) -> void {
+        m_changes[m_revision.era][key].push_back({.key = key,
+                                                  .version = m_revision,
+                                                  .value = removes ? std::string{} : std::move(value),
+                                                  .removed = removes});
     }
 
-private:
-    auto changes(const std::string& key) const -> const std::vector<store_object>& {
+    auto changes(const std::string& key, std::uint64_t era) const -> const std::vector<store_object>& {
         static const auto none = std::vector<store_object>{};
-        const auto found = m_changes.find(key);
-        return found == m_changes.end() ? none : found->second;
+        const auto of_era = m_changes.find(era);
+        if (of_era == m_changes.end()) {
+            return none; // Before the first answer.
+        }
+        const auto found = of_era->second.find(key);
+        return found == of_era->second.end() ? none : found->second;
     }
 
     const kind_profile& m_kind;
-    std::uint64_t m_revision = 1;
-    std::map<std::string, std::vector<store_object>> m_changes;
+    store_revision m_revision{.era = 1, .number = 1};
+    std::uint64_t m_writes = 0;
+    std::map<std::uint64_t, key_changes> m_changes{{1, {}}}; ///< By era, with all that the era began with.
+    std::map<std::uint64_t, std::uint64_t> m_ends;           ///< Last number by era, of the earlier ones.
 };
 
 /// An answer on its way to an instance.
@@ -114,22 +141,22 @@
     std::size_t to = 0;
     std::size_t relay = 0;
     bool is_whole = false;
-    std::uint64_t revision = 0;
+    store_revision revision;
     std::uint64_t number = 0; ///< Change number of the relay.
     std::uint64_t digest = 0; ///< Digest of the relay.
     std::vector<store_object> objects;
-    std::vector<std::uint64_t> bases; ///< Of each object; 0 for a whole value.
-    std::vector<object_page> pages;   ///< Of a list.
+    std::vector<store_revision> bases; ///< Of each object; number 0 for a whole value.
+    std::vector<object_page> pages;    ///< Of a list.
     replica_comparison compared;
-    std::uint64_t newest = 0; ///< Of the copy that answered.
+    store_revision newest; ///< Of the copy that answered.
 };
 
 struct instance {
     object_replica replica;
-    std::uint64_t newest = 0; ///< The highest revision that reached it, directly or through another copy.
-    std::uint64_t watched_from = 0;
+    store_revision newest; ///< The highest revision that reached it, directly or through another copy.
+    store_revision watched_from;
     std::map<std::size_t, std::uint64_t> followed; ///< Change number by relay.
-    std::map<std::string, std::uint64_t> last_live;
+    std::map<std::string, store_revision> last_live;
     std::set<std::string> absent; ///< Keys that were live before and are absent now.
 };
 
@@ -194,8 +221,12 @@
     auto send_list() -> void {
         constexpr auto max_lag = 12;
         const auto lag = m_random() % 2 == 0 ? m_random() % max_lag : 0;
-        const auto revision = m_store.revision() - std::min(m_store.revision() - 1, lag);
-        const auto later = revision + m_random() % (m_store.revision() - revision + 1);
+        const auto present = m_store.revision();
+        const auto revision =
+            store_revision{.era = present.era, .number = present.number - std::min(present.number - 1, lag)};
+        const auto later =
+            store_revision{.era = present.era,
+                           .number = revision.number + m_random() % (present.number - revision.number + 1)};
         const auto split = "k" + std::to_string(m_random() % m_kind.keys);
         auto first = object_page{.revision = revision, .last_key = split};
         auto second = object_page{.revision = later, .after_key = split};
@@ -215,13 +246,13 @@
     auto send_watch() -> void {
         const auto to = pick();
         const auto from = m_instances.at(to).watched_from;
-        if (from == 0) {
+        if (from.number == 0) {
             return; // The history was lost; a list comes first.
         }
         m_answers.push_back({.kind = answer::type::watch,
                              .to = to,
                              .revision = m_store.revision(),
-                             .objects = m_store.events(from, m_store.revision())});
+                             .objects = m_store.events_after(from.number)});
     }
 
     auto send_relayed() -> void {
@@ -246,8 +277,10 @@
         for (const auto* entry : changes.entries) {
             sent.objects.push_back(entry->object);
             const auto is_patch = m_kind.is_patched && !changes.is_whole && m_random() % 2 == 0;
-            const auto earlier = m_store.version_at(entry->object.key, entry->object.version - 1);
-            sent.bases.push_back(is_patch ? earlier : 0);
+            const auto version = entry->object.version;
+            const auto earlier =
+                m_store.version_at(entry->object.key, {.era = version.era, .number = version.number - 1});
+            sent.bases.push_back(is_patch ? earlier : store_revision{});
         }
         // An instance has one request to a relay at a time.
         std::erase_if(m_answers,
@@ -293,7 +326,7 @@
             }
         } else {
             for (std::size_t index = 0; index < received.objects.size(); ++index) {
-                const auto base = received.bases.empty() ? 0 : received.bases.at(index);
+                const auto base = received.bases.empty() ? store_revision{} : received.bases.at(index);
                 is_complete = apply_object(target.replica, received.objects.at(index), base) && is_complete;
             }
         }
@@ -304,8 +337,8 @@
         }
         if (received.kind == answer::type::list) {
             const auto is_history_lost = m_random() % 4 == 0;
-            target.watched_from = is_history_lost ? 0 : target.replica.complete_to;
-        } else if (received.kind == answer::type::watch && target.watched_from != 0) {
+            target.watched_from = is_history_lost ? store_revision{} : target.replica.complete_to;
+        } else if (received.kind == answer::type::watch && target.watched_from.number != 0) {
             target.watched_from = std::max(target.watched_from, received.revision);
         } else if (received.kind == answer::type::relayed && is_complete) {
             target.followed[received.relay] = received.number;
@@ -317,9 +350,9 @@
     }
 
     /// Returns false if a difference does not apply to the known version.
-    static auto apply_object(object_replica& replica, const store_object& object, std::uint64_t base)
+    static auto apply_object(object_replica& replica, const store_object& object, const store_revision& base)
         -> bool {
-        if (base != 0 && compare_object(replica, object) == merge_result::applied) {
+        if (base.number != 0 && compare_object(replica, object) == merge_result::applied) {
             const auto versions = live_versions(replica);
             const auto known = versions.find(object.key);
             if (known == versions.end() || known->second != base) {
@@ -334,13 +367,13 @@
         const auto versions = live_versions(changed.replica);
         for (const auto& key : m_store.keys()) {
             const auto found = versions.find(key);
-            const auto version = found == versions.end() ? 0 : found->second;
+            const auto version = found == versions.end() ? store_revision{} : found->second;
             if (auto fault = check_state(changed, key, version); !fault.empty()) {
                 return fault;
             }
         }
         for (std::size_t index = 0; index < received.objects.size(); ++index) {
-            if (!received.bases.empty() && received.bases.at(index) != 0) {
+            if (!received.bases.empty() && received.bases.at(index).number != 0) {
                 continue; // A difference from another version is followed by a request for the complete list.
             }
             const auto& object = received.objects.at(index);
@@ -348,7 +381,7 @@
             const auto is_known = found != versions.end() && found->second >= object.version;
             if (!object.removed && !is_known &&
                 !m_store.has_change(object.key, object.version, changed.newest)) {
-                return "a live entry was refused: " + object.key + "@" + std::to_string(object.version);
+                return "a live entry was refused: " + object.key + "@" + to_string(object.version);
             }
         }
         return {};
@@ -356,20 +389,25 @@
 
     /// The state of a key is one that the store had between the complete revision and the newest one heard,
     /// and a removed version does not come back.
-    auto check_state(instance& changed, const std::string& key, std::uint64_t version) -> std::string {
+    auto check_state(instance& changed, const std::string& key, const store_revision& version)
+        -> std::string {
         const auto& replica = changed.replica;
         const auto highest = changed.newest;
         auto is_possible = false;
-        for (auto revision = replica.complete_to; revision <= highest && !is_possible; ++revision) {
-            is_possible = m_store.version_at(key, revision) == version;
+        for (auto era = replica.complete_to.era; era <= highest.era; ++era) {
+            const auto first = era == replica.complete_to.era ? replica.complete_to.number : 0;
+            const auto last = era == highest.era ? highest.number : m_store.end_of(era);
+            for (auto number = first; number <= last && !is_possible; ++number) {
+                is_possible = m_store.version_at(key, {.era = era, .number = number}) == version;
+            }
         }
-        const auto name = key + "@" + std::to_string(version);
+        const auto name = key + "@" + to_string(version);
         if (!is_possible) {
-            return "not a state of the store between " + std::to_string(replica.complete_to) + " and " +
-                   std::to_string(highest) + ": " + name;
+            return "not a state of the store between " + to_string(replica.complete_to) + " and " +
+                   to_string(highest) + ": " + name;
         }
-        if (version == 0) {
-            if (changed.last_live[key] != 0) {
+        if (version.number == 0) {
+            if (changed.last_live[key].number != 0) {
                 changed.absent.insert(key);
             }
             return {};
