Move the callers' part of a stop out of the gateway class

The order of a stop (accept, wait, give up, end) could only be run by starting the whole program. It is a function over the server and the router now, with the moments as a plain struct, so that a test can run it.

--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/cluster_state_feed.h"
+#include "gateway/graceful_stop.h"
 #include "gateway/peers.h"
 #include "gateway/store_follower.h"
 #include "gateway/task.h"
@@ -31,12 +32,6 @@
 constexpr auto housekeeping_interval = duration{std::chrono::milliseconds{100}};
 /// The file may also change without a signal.
 constexpr auto settings_interval = duration{std::chrono::seconds{2}};
-/// The load balancer checks readiness once a second and removes an instance after two failures, so callers
-/// keep arriving until then. A request that arrives more than three seconds after the signal may not be
-/// answered in time.
-constexpr auto caller_drain_time = duration{std::chrono::milliseconds{2800}};
-/// Everything must have ended this long before the platform kills the process.
-constexpr auto stop_margin = duration{std::chrono::milliseconds{500}};
 /// Requests for keys in transfer wait for the new key map, so its delay is short; other changes have two
 /// seconds to take effect everywhere.
 constexpr auto key_map_batch_delay = duration{std::chrono::milliseconds{20}};
@@ -420,24 +415,10 @@
 
 auto gateway::stop() -> asio::awaitable<void> {
     log::info("stopping", {{"busy", m_callers->busy()}, {"connections", m_callers->connections()}});
-    const auto stop_start = monotonic_now();
+    const auto schedule = make_stop_schedule(monotonic_now(), m_settings.stop_grace);
     m_callers->close_after_next_answer();
     co_await m_controller.stop();
-    const auto until = stop_start + m_settings.stop_grace - stop_margin;
-    while (monotonic_now() < stop_start + caller_drain_time) {
-        co_await sleep_for(housekeeping_interval / 2);
-    }
-    m_callers->stop();
-    const auto give_up = stop_start + m_settings.stop_grace * 5 / 6;
-    while (m_callers->busy() > 0 && monotonic_now() < give_up) {
-        co_await sleep_for(housekeeping_interval / 5);
-    }
-    // Whatever has no answer by now is answered without one: the process would be killed with it.
-    m_router.give_up_waiting();
-    // A connection stays until its caller has closed it, which shows that the last answer has arrived.
-    while ((m_callers->busy() > 0 || m_callers->connections() > 0) && monotonic_now() < until) {
-        co_await sleep_for(housekeeping_interval / 5);
-    }
+    co_await stop_serving(*m_callers, m_router, schedule);
     log::info("stopped", {{"busy", m_callers->busy()}});
     log::flush_direct();
     m_context.stop();
--- /dev/null
+++ b/src/teaselcross/gateway/graceful_stop.cpp
@@ -0,0 +1,43 @@
+#include "gateway/graceful_stop.h"
+
+#include "gateway/store_access.h"
+#include "runtime/clock.h"
+
+namespace teaselcross {
+
+namespace {
+
+/// The load balancer checks readiness once a second and removes an instance after two failures, so callers
+/// keep arriving until then. A request that arrives more than three seconds after the signal may not be
+/// answered in time.
+constexpr auto caller_drain_time = duration{std::chrono::milliseconds{2800}};
+/// Everything must have ended this long before the platform kills the process.
+constexpr auto stop_margin = duration{std::chrono::milliseconds{500}};
+constexpr auto check_interval = duration{std::chrono::milliseconds{20}};
+
+} // namespace
+
+auto make_stop_schedule(instant ordered, duration grace) -> stop_schedule {
+    return {.stop_accepting = ordered + caller_drain_time,
+            .give_up = ordered + grace * 5 / 6,
+            .end = ordered + grace - stop_margin};
+}
+
+auto stop_serving(http_server& callers, request_router& router, stop_schedule schedule)
+    -> boost::asio::awaitable<void> {
+    while (monotonic_now() < schedule.stop_accepting) {
+        co_await sleep_for(check_interval);
+    }
+    callers.stop();
+    while (callers.busy() > 0 && monotonic_now() < schedule.give_up) {
+        co_await sleep_for(check_interval);
+    }
+    // Whatever has no answer by now is answered without one: the process would be killed with it.
+    router.give_up_waiting();
+    // A connection stays until its caller has closed it, which shows that the last answer has arrived.
+    while ((callers.busy() > 0 || callers.connections() > 0) && monotonic_now() < schedule.end) {
+        co_await sleep_for(check_interval);
+    }
+}
+
+} // namespace teaselcross
