Refuse requests that may not finish before a stopping process ends

What callers saw (report of other operators): in a planned stop, requests that came late in the grace time were passed on to targets and cut without an answer at its end, also those that may run at most once.

It could happen here, in four ways, each with a test: - A request that waited its turn behind one that was given up was sent to a target after that, and its connection was reset at the end: no answer at all. - A request whose last bytes came after the instance had stopped accepting was sent whatever its time was. If no other request was in progress at that moment, waiting had been given up already, so nothing ended its wait and the process ended with it: no answer. - A request that waited its turn, and got it while answers were still waited for, was sent and given up. - A request that waited for a target to appear, or for a connection, was sent after giving up.

Change: the router is told when the stop gives up. From the moment at which the instance stops accepting, a request whose time (its own and its route's) may last beyond is refused as not run, with Retry-After, before it is sent; after giving up nothing is sent at all. Waiting goes on while connections are open, as requests may still arrive on them. Requests begun before are served as before, and late ones that end in time too (requests_that_finish_in_time_are_served).

--- a/src/teaselcross/gateway/graceful_stop.cpp
+++ b/src/teaselcross/gateway/graceful_stop.cpp
@@ -25,17 +25,20 @@
 
 auto stop_serving(http_server& callers, request_router& router, stop_schedule schedule)
     -> boost::asio::awaitable<void> {
+    router.refuse_unfinishable(schedule.stop_accepting, schedule.give_up);
     while (monotonic_now() < schedule.stop_accepting) {
         co_await sleep_for(check_interval);
     }
     callers.stop();
-    while (callers.busy() > 0 && monotonic_now() < schedule.give_up) {
+    // A request may still arrive on a connection that has been quiet so far.
+    const auto is_in_use = [&callers] { return callers.busy() > 0 || callers.connections() > 0; };
+    while (is_in_use() && monotonic_now() < schedule.give_up) {
         co_await sleep_for(check_interval);
     }
     // Whatever has no answer by now is answered without one: the process would be killed with it.
     router.give_up_waiting();
     // A connection stays until its caller has closed it, which shows that the last answer has arrived.
-    while ((callers.busy() > 0 || callers.connections() > 0) && monotonic_now() < schedule.end) {
+    while (is_in_use() && monotonic_now() < schedule.end) {
         co_await sleep_for(check_interval);
     }
 }
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -147,6 +147,9 @@
     if (current.caller_left) {
         co_return attempt_result::withdrawn;
     }
+    if (m_has_given_up) {
+        co_return attempt_result::not_sent;
+    }
     current.active_exchange = &current.answer;
     m_waiting.insert(&current);
     current.sent_to.push_back(listed.id);
@@ -203,6 +206,11 @@
     co_return classify_answer(current);
 }
 
+auto request_router::refuse_unfinishable(instant since, instant give_up) -> void {
+    m_refuse_since = since;
+    m_give_up_at = give_up;
+}
+
 auto request_router::give_up_waiting() -> void {
     m_has_given_up = true;
     for (auto* each : m_waiting) {
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -154,6 +154,9 @@
         if (now + min_useful_time >= current.deadline) {
             co_return current.may_have_run ? refusal::answer_timeout : refusal::out_of_time;
         }
+        if (!may_finish(current, now)) {
+            co_return current.may_have_run ? refusal::target_failed : refusal::stopping;
+        }
         auto chosen = choose(current);
         if (!chosen.target) {
             if (chosen.should_wait && now < wait_deadline) {
@@ -178,7 +181,9 @@
             // A target's own failure response is a valid answer and is passed on to the caller.
             current.has_answer = end == attempt_result::failed;
             const auto late = end == attempt_result::timed_out;
-            const auto unsent = end == attempt_result::not_sent ? refusal::no_target : refusal::overload;
+            const auto unsent = m_has_given_up                    ? refusal::stopping
+                                : end == attempt_result::not_sent ? refusal::no_target
+                                                                  : refusal::overload;
             const auto unknown = late ? refusal::answer_timeout : refusal::target_failed;
             if (!current.may_have_run) {
                 current.retry_after = expected_finish(chosen.target->view, {}, monotonic_now()) / 2;
@@ -189,6 +194,13 @@
     co_return std::nullopt;
 }
 
+/// Whether the answer to a request that would be sent now is certain to be waited for. One that may have run
+/// already is sent again as long as anything is: a failure would be its only other end.
+auto request_router::may_finish(const request_context& current, instant now) const -> bool {
+    const auto is_late = now >= m_refuse_since && current.deadline > m_give_up_at;
+    return !m_has_given_up && (current.may_have_run || !is_late);
+}
+
 auto request_router::choose(request_context& current) -> target_choice {
     return current.policy.keyed && current.caller.key ? choose_owner(current) : choose_any(current);
 }
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -32,10 +32,11 @@
     out_of_time,    ///< The deadline passed before it was sent.
     target_failed,  ///< It was sent, and its outcome is unknown.
     answer_timeout, ///< It was sent, and no answer came before the deadline.
+    stopping,       ///< The process stops and may end before the answer comes.
 };
-constexpr enum_table<refusal, 10> refusal_names{"no_config",     "no_route",      "no_target", "no_owner",
-                                                "overload",      "cold",          "quiet",     "out_of_time",
-                                                "target_failed", "answer_timeout"};
+constexpr enum_table<refusal, 11> refusal_names{"no_config",     "no_route",       "no_target", "no_owner",
+                                                "overload",      "cold",           "quiet",     "out_of_time",
+                                                "target_failed", "answer_timeout", "stopping"};
 
 class request_router {
 public:
@@ -48,8 +49,11 @@
     /// Returns the requests counted since the last call.
     auto take_sample() -> traffic_sample { return std::exchange(m_sample, {}); }
 
+    /// Prepares for the end of the process: requests that have not been sent by @a since are refused if their
+    /// time may last beyond @a give_up, when give_up_waiting() will be called.
+    auto refuse_unfinishable(instant since, instant give_up) -> void;
     /// Ends the requests that wait for an answer of their target, before the process ends; their callers get
-    /// a response that leaves open whether they have run. Requests are not sent again afterwards.
+    /// a response that leaves open whether they have run. Nothing is sent to targets afterwards.
     auto give_up_waiting() -> void;
 
 private:
@@ -73,6 +77,7 @@
     auto record_requests_of_target(const request_context& current, target_view& view, attempt_result end,
                                    instant now) -> void;
     auto classify_answer(request_context& current) -> attempt_result;
+    auto may_finish(const request_context& current, instant now) const -> bool;
     auto may_retry(request_context& current, attempt_result end, instant now) -> bool;
     auto record_answer_size(const std::string& rule, std::size_t bytes) -> void;
     auto release_connection(request_context& current) -> void;
@@ -92,7 +97,9 @@
     std::map<std::string, patience_window> m_patience; ///< By rule.
     std::map<service_id, lateness_estimate> m_lateness;
     traffic_sample m_sample;
-    std::set<request_context*> m_waiting; ///< Requests that wait for an answer of their target.
+    std::set<request_context*> m_waiting;    ///< Requests that wait for an answer of their target.
+    instant m_refuse_since = instant::max(); ///< From when on requests that may not finish are refused.
+    instant m_give_up_at = instant::max();
     bool m_has_given_up = false;
     std::mt19937_64 m_random{std::random_device{}()};
 };
