Leave time for answers whatever the grace time is

What callers would have seen: with a grace time of 3 s or less, requests were cut as soon as the instance stopped accepting, 2.8 s after the signal: the moments at which it gives up and ends lay before that.

Cause: the schedule of a stop had two fixed times beside one that is a part of the grace time. Change: it accepts for half of the grace time at most, and the margin at its end is a twelfth at most. With 6 s all three moments stay (2.8, 5 and 5.5 s).

--- a/src/teaselcross/gateway/graceful_stop.cpp
+++ b/src/teaselcross/gateway/graceful_stop.cpp
@@ -3,6 +3,8 @@
 #include "gateway/store_access.h"
 #include "runtime/clock.h"
 
+#include <algorithm>
+
 namespace teaselcross {
 
 namespace {
@@ -18,9 +20,9 @@
 } // namespace
 
 auto make_stop_schedule(instant ordered, duration grace) -> stop_schedule {
-    return {.stop_accepting = ordered + caller_drain_time,
+    return {.stop_accepting = ordered + std::min(caller_drain_time, grace / 2),
             .give_up = ordered + grace * 5 / 6,
-            .end = ordered + grace - stop_margin};
+            .end = ordered + grace - std::min(stop_margin, grace / 12)};
 }
 
 auto stop_serving(http_server& callers, request_router& router, stop_schedule schedule)
--- a/tests/gateway/graceful_stop_test.cpp
+++ b/tests/gateway/graceful_stop_test.cpp
@@ -183,5 +183,23 @@
     EXPECT_EQ(late_client.responses().front().result_int(), 200U);
 }
 
+// Guards against requests that are cut as soon as the instance stops accepting, because the grace time is
+// short.
+TEST(stop_schedule, leaves_time_for_answers_whatever_the_grace_time) {
+    const auto ordered = instant{seconds{100}};
+    for (const auto grace_time : {milliseconds{500}, milliseconds{2000}, milliseconds{3000},
+                                  milliseconds{6000}, milliseconds{60'000}}) {
+        const auto schedule = make_stop_schedule(ordered, grace_time);
+        EXPECT_GT(schedule.stop_accepting, ordered);
+        EXPECT_GE(schedule.give_up - schedule.stop_accepting, grace_time / 3);
+        EXPECT_GT(schedule.end, schedule.give_up);
+        EXPECT_LT(schedule.end, ordered + grace_time);
+    }
+    const auto usual = make_stop_schedule(ordered, seconds{6});
+    EXPECT_EQ(usual.stop_accepting - ordered, milliseconds{2800});
+    EXPECT_EQ(usual.give_up - ordered, seconds{5});
+    EXPECT_EQ(usual.end - ordered, milliseconds{5500});
+}
+
 } // namespace
 } // namespace teaselcross
