--- a/tests/gateway/store_follower_test.cpp
+++ b/tests/gateway/store_follower_test.cpp
@@ -122,5 +122,75 @@
     EXPECT_TRUE(knows_entry || answer.at("at").template get<int>() < entry_revision) << answer;
 }
 
+auto target_item(const std::string& name, int revision, const std::string& specification) -> std::string {
+    return R"({"metadata":{"name":")" + name + R"(","revision":)" + std::to_string(revision) +
+           R"(},"spec":)" + specification + "}";
+}
+
+auto target_specification() -> std::string {
+    return R"({"service":"s","address":"10.0.0.9:8080","zone":"west","slots":4,"state":"ready","sequence":1})";
+}
+
+/// Specifications of another writer that cannot be read.
+auto odd_specifications() -> std::vector<std::string> {
+    constexpr auto depth = std::size_t{100'000};
+    return {
+        std::string(depth, '[') + std::string(depth, ']'), R"({"slots":1e999})",
+        R"({"service":"s","address":"10.0.0.9:70000","zone":"w","slots":4,"state":"ready","sequence":1})"};
+}
+
+// Guards against an instance that ends, or follows the targets no longer, because of one entry.
+TEST(store_follower, an_odd_entry_among_the_targets_does_not_end_the_following) {
+    for (const auto& odd : odd_specifications()) {
+        const auto shown = odd.substr(0, 80);
+        auto context = boost::asio::io_context{1};
+        auto calls = 0;
+        auto store = loopback_peer{
+            context.get_executor(), [&](const auto& /*request*/) {
+                const auto usable = target_specification();
+                ++calls;
+                if (calls == 1) {
+                    return R"({"items":[)" + target_item("a", 1, usable) + "," + target_item("b", 2, odd) +
+                           "," + target_item("c", 3, usable) + R"(],"at":3})";
+                }
+                if (calls > 3) {
+                    return std::string{}; // The store answers nothing more.
+                }
+                return R"({"events":[{"object":)" + target_item("b", 2 * calls, odd) + R"(},{"object":)" +
+                       target_item("d" + std::to_string(calls), 2 * calls + 1, usable) + R"(}],"at":)" +
+                       std::to_string(2 * calls + 1) + "}";
+            }};
+        const auto settings = gateway_settings{
+            .instance = "own", .data_centre = data_centre_id{"east"}, .store = store.address()};
+        auto cluster = cluster_state{settings, context.get_executor()};
+        auto access = store_access{settings, cluster, context.get_executor(), platform::platform_dialect};
+        auto feed = cluster_state_feed{settings, cluster, access};
+        auto follower = store_follower{access,
+                                       cluster,
+                                       settings,
+                                       context.get_executor(),
+                                       {.kind = platform::kinds::targets},
+                                       feed.target_events()};
+        const auto knows = [&](const char* name) { return cluster.target(target_id{name}) != nullptr; };
+        auto ended = false;
+        boost::asio::co_spawn(context, follower.run(), [&](const std::exception_ptr&) { ended = true; });
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+        while (!knows("d3") && !ended && std::chrono::steady_clock::now() < end) {
+            context.run_one_for(std::chrono::milliseconds{100});
+        }
+        EXPECT_FALSE(ended) << shown;
+        for (const auto* name : {"a", "c", "d2", "d3"}) {
+            EXPECT_TRUE(knows(name)) << name << " beside " << shown;
+        }
+        EXPECT_FALSE(knows("b")) << shown;
+        // Instances compare their copies by the versions of all entries, and pass on the odd one too.
+        const auto versions = json{{"servers/b", 6}};
+        const auto same = json::parse(follower.answer_comparison({{"versions", versions}}));
+        EXPECT_EQ(same.at("present"), json::array({"servers/b"})) << shown;
+        const auto whole = follower.answer_comparison({{"versions", json::object()}});
+        EXPECT_LT(whole.size(), 4096U) << shown;
+    }
+}
+
 } // namespace
 } // namespace teaselcross
