Reject numbers out of range in the records of the store

What could be seen: an entry of another writer with "cold-remaining-s": 1e300 was taken for a target that is cold for ever; what the cast to a duration gives is undefined and depends on the processor, as is its sum with the present time. An instance record with port 70000 led to port 4464, and weights, attempts or limits of a configuration wrapped round in the same way.

Cause: numbers were cast to their type without a look at their range. A whole number written with a fraction (2.0) is still taken in a configuration. A body limit above 4 GiB is taken as 4 GiB. Ports out of range and slots of targets were checked before.

--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -17,8 +17,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <limits>
 #include <set>
 #include <sstream>
 
@@ -155,10 +157,12 @@
     m_internal->start();
     watch_signals();
     m_feed.set_limits_listener([this](const caller_limits& limits) {
-        m_callers->set_limits({.header_limit = limits.header_bytes,
-                               .body_limit = static_cast<std::uint32_t>(limits.body_bytes),
-                               .idle_limit = limits.idle_timeout,
-                               .request_limit = limits.header_timeout});
+        constexpr auto largest_limit = std::uint64_t{std::numeric_limits<std::uint32_t>::max()};
+        m_callers->set_limits(
+            {.header_limit = limits.header_bytes,
+             .body_limit = static_cast<std::uint32_t>(std::min(limits.body_bytes, largest_limit)),
+             .idle_limit = limits.idle_timeout,
+             .request_limit = limits.header_timeout});
     });
     m_controller.set_copy_source([this] { return copies(); });
     m_measured.set_gauge_source([this] { return gauges(); });
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
+#include <stdexcept>
 
 namespace teaselcross {
 
@@ -22,6 +24,7 @@
 /// A relayed watch may wait as long as a direct one.
 constexpr auto relay_timeout = duration{std::chrono::milliseconds{9500}};
 constexpr auto max_relayed_bytes = std::size_t{16} * 1024 * 1024;
+constexpr auto last_port = std::numeric_limits<std::uint16_t>::max();
 
 auto make_record(const gateway_settings& settings, std::uint64_t start_time_ms) -> std::string {
     return json{{"data_centre", settings.data_centre.value()},
@@ -100,14 +103,21 @@
 
 auto parse_instance_record(const store_object& object) -> std::optional<instance_record> {
     const auto document = json::parse(object.value, nullptr, false);
+    const auto number = [&document](const char* field, std::uint64_t largest) {
+        const auto& value = document.at(field);
+        if (!value.is_number_unsigned() || value.get<std::uint64_t>() > largest) {
+            throw std::out_of_range{std::string{"not a number in range: "} + field};
+        }
+        return value.get<std::uint64_t>();
+    };
     try {
         return instance_record{.name = object.key.substr(object.key.find('/') + 1),
                                .data_centre = data_centre_id{document.at("data_centre").get<std::string>()},
                                .internal = {.host = document.at("host").get<std::string>(),
-                                            .port = document.at("port").get<std::uint16_t>()},
+                                            .port = static_cast<std::uint16_t>(number("port", last_port))},
                                .cpu_share = document.at("processor").get<double>(),
-                               .start_time_ms = document.at("birth").get<std::uint64_t>()};
-    } catch (const json::exception& fault) {
+                               .start_time_ms = number("birth", std::numeric_limits<std::uint64_t>::max())};
+    } catch (const std::exception& fault) {
         log::warning("instance_unreadable", {{"object", object.key}, {"fault", fault.what()}});
         return std::nullopt;
     }
--- a/tests/gateway/store_follower_test.cpp
+++ b/tests/gateway/store_follower_test.cpp
@@ -134,9 +134,10 @@
 /// Specifications of another writer that cannot be read.
 auto odd_specifications() -> std::vector<std::string> {
     constexpr auto depth = std::size_t{100'000};
-    return {
-        std::string(depth, '[') + std::string(depth, ']'), R"({"slots":1e999})",
-        R"({"service":"s","address":"10.0.0.9:70000","zone":"w","slots":4,"state":"ready","sequence":1})"};
+    return {std::string(depth, '[') + std::string(depth, ']'), R"({"slots":1e999})",
+            R"({"service":"s","address":"10.0.0.9:70000","zone":"w","slots":4,"state":"ready","sequence":1})",
+            R"({"service":"s","address":"10.0.0.9:80","zone":"w","slots":4,"state":"ready","sequence":1,)"
+            R"("cold-remaining-s":1e300})"};
 }
 
 // Guards against an instance that ends, or follows the targets no longer, because of one entry.
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -1,6 +1,7 @@
 // Entries that another writer left in the store: what cannot be read names no target to use, and the entries
 // beside it hold.
 
+#include "gateway/peers.h"
 #include "platform/records.h"
 #include "platform/store.h"
 
@@ -70,6 +71,11 @@
     return platform::parse_target(object.key, object.value).has_value();
 }
 
+auto is_rejected_with(json entry, const char* field, const json& value) -> bool {
+    entry[field] = value;
+    return !platform::parse_target("i-1", entry.dump()).has_value();
+}
+
 } // namespace
 
 // Guards against instances that end, or no longer follow the targets, because of one entry of the list.
@@ -139,6 +145,62 @@
     EXPECT_EQ(read(store_call_kind::list, " { \"at\" : 9 , \"items\" : [ ] } \n").status, store_status::ok);
 }
 
+// Guards against numbers that wrap round when they are stored, or are undefined as a duration.
+TEST(odd_entries, numbers_out_of_range_name_no_target) {
+    const auto entry = target_entry();
+    for (const auto& slots : {json(-1), json(0), json(1e300), json(1ULL << 63U), json(~0ULL), json(4.5)}) {
+        EXPECT_TRUE(is_rejected_with(entry, "slots", slots)) << slots;
+    }
+    for (const auto& cold : {json(1e300), json(1e12), json(-1e300), json("1"), json(nullptr)}) {
+        EXPECT_TRUE(is_rejected_with(entry, "cold-remaining-s", cold)) << cold;
+    }
+    for (const auto& born : {json(-1), json(1e300), json(~0ULL), json("1")}) {
+        EXPECT_TRUE(is_rejected_with(entry, "born", born)) << born;
+    }
+    for (const auto* port : {"0", "65536", "70000", "-1", "99999999999999999999", "1e3", "80 ", ""}) {
+        EXPECT_TRUE(is_rejected_with(entry, "address", "10.0.0.9:"s + port)) << port;
+    }
+}
+
+// Guards against a port that wraps round to that of another process.
+TEST(odd_entries, numbers_out_of_range_name_no_instance) {
+    const auto record = json{{"data_centre", "west"},
+                             {"host", "10.0.0.9"},
+                             {"port", 7540},
+                             {"processor", 0.2},
+                             {"birth", 1771872880832}};
+    const auto is_read = [&](const char* field, const json& value) {
+        auto changed = record;
+        changed[field] = value;
+        return parse_instance_record({.key = "k/i", .version = 1, .value = changed.dump()}).has_value();
+    };
+    EXPECT_TRUE(is_read("port", 7540));
+    for (const auto& port : {json(70000), json(-1), json(1e300), json(7540.5), json(~0ULL)}) {
+        EXPECT_FALSE(is_read("port", port)) << port;
+    }
+    EXPECT_FALSE(is_read("birth", 1e300));
+    EXPECT_FALSE(is_read("birth", -1));
+    EXPECT_FALSE(parse_instance_record({.key = "k/i", .version = 1, .value = nested("[", "]")}));
+}
+
+TEST(odd_entries, a_configuration_with_a_number_out_of_range_is_rejected) {
+    const auto config = [](const std::string& timeout, const std::string& weight,
+                           const std::string& attempts) {
+        return R"({"version":7,"clusters":[{"name":"s"}],"listeners":[{"host":"a","rules":[{"name":"r",
+            "kind":"safe","match":{"path-prefix":"/"},"action":{"timeout-s":)" +
+               timeout + R"(,"max-attempts":)" + attempts + R"(,"traffic-split":[{"service":"s","weight":)" +
+               weight + "}]}}]}]}";
+    };
+    EXPECT_TRUE(platform::parse_routes(config("1", "1", "2")));
+    EXPECT_TRUE(platform::parse_routes(config("0.5", "1.0", "2.0"))) << "whole numbers";
+    for (const auto* odd : {"1e300", "1e999", "-1"}) {
+        EXPECT_FALSE(platform::parse_routes(config(odd, "1", "2"))) << odd;
+        EXPECT_FALSE(platform::parse_routes(config("1", odd, "2"))) << odd;
+        EXPECT_FALSE(platform::parse_routes(config("1", "1", odd))) << odd;
+    }
+    EXPECT_FALSE(platform::parse_routes(config("1", "4294967297", "2")));
+}
+
 TEST(odd_entries, a_deep_entry_that_another_instance_passes_on_names_no_target) {
     EXPECT_FALSE(platform::parse_target("i-1", nested("[", "]")));
     EXPECT_FALSE(platform::parse_target("i-1", nested(R"({"service":)", "}")));
