Split lists of the store without searches in character sets

To read 500 entries (142 KB) one by one took 6.2 ms against 5.0 ms for the document as a whole: each character was looked up in a set, and two scalars of each entry went through a parser.

--- a/src/libteaselcross/core/json_text.cpp
+++ b/src/libteaselcross/core/json_text.cpp
@@ -8,10 +8,27 @@
 
 namespace {
 
-constexpr auto whitespace = std::string_view{" \t\r\n"};
-
 auto is_space(char each) -> bool {
-    return whitespace.find(each) != std::string_view::npos;
+    return each == ' ' || each == '\t' || each == '\r' || each == '\n';
+}
+
+auto opens(char each) -> bool {
+    return each == '{' || each == '[';
+}
+
+auto closes(char each) -> bool {
+    return each == '}' || each == ']';
+}
+
+/// Where the string that begins at @a position ends, behind its quote. Nothing if it has no end.
+auto end_of_string(std::string_view text, std::size_t position) -> std::optional<std::size_t> {
+    for (auto each = position + 1; each < text.size(); ++each) {
+        if (text[each] == '"') {
+            return each + 1;
+        }
+        each += text[each] == '\\' ? 1 : 0;
+    }
+    return std::nullopt;
 }
 
 /// Reads the parts of a text one after the other. A part that is missing leaves the position where it is.
@@ -53,15 +70,12 @@
                 if (!skip_string()) {
                     break;
                 }
-            } else if (next == '{' || next == '[') {
+            } else if (opens(next)) {
                 ++depth;
                 ++m_position;
-            } else if (depth > 0 && (next == '}' || next == ']')) {
-                --depth;
-                ++m_position;
             } else if (depth > 0) {
+                depth -= closes(next) ? 1 : 0;
                 ++m_position;
-                continue;
             } else {
                 skip_word();
             }
@@ -86,20 +100,19 @@
 
     /// A number, a name such as true, or what stands in the place of one.
     auto skip_word() -> void {
-        constexpr auto ends = std::string_view{",:{}[]\" \t\r\n"};
-        m_position = std::min(m_text.find_first_of(ends, m_position), m_text.size());
+        const auto ends_word = [](char each) {
+            return is_space(each) || opens(each) || closes(each) || each == ',' || each == ':' || each == '"';
+        };
+        while (m_position < m_text.size() && !ends_word(m_text[m_position])) {
+            ++m_position;
+        }
     }
 
     auto skip_string() -> bool {
-        if (m_position == m_text.size() || m_text[m_position] != '"') {
-            return false;
-        }
-        auto end = m_text.find_first_of("\"\\", m_position + 1);
-        while (end != std::string_view::npos && m_text[end] == '\\') {
-            end = end + 2 < m_text.size() ? m_text.find_first_of("\"\\", end + 2) : std::string_view::npos;
-        }
-        m_position = std::min(end, m_text.size() - 1) + 1;
-        return end != std::string_view::npos;
+        const auto begins = m_position < m_text.size() && m_text[m_position] == '"';
+        const auto end = begins ? end_of_string(m_text, m_position) : std::nullopt;
+        m_position = end.value_or(m_position);
+        return end.has_value();
     }
 
     std::string_view m_text;
@@ -109,19 +122,14 @@
 /// Whether @a text has more than @a limit brackets open at once.
 auto is_deeper_than(std::string_view text, std::size_t limit) -> bool {
     auto depth = std::size_t{0};
-    auto in_string = false;
     for (auto position = std::size_t{0}; position < text.size(); ++position) {
-        const auto each = text[position];
-        if (in_string) {
-            position += each == '\\' ? 1 : 0;
-            in_string = each != '"';
-        } else if (each == '"') {
-            in_string = true;
-        } else if (each == '{' || each == '[') {
+        if (text[position] == '"') {
+            position = end_of_string(text, position).value_or(text.size()) - 1;
+        } else if (opens(text[position])) {
             if (++depth > limit) {
                 return true;
             }
-        } else if (each == '}' || each == ']') {
+        } else if (closes(text[position])) {
             depth -= depth > 0 ? 1 : 0;
         }
     }
