--- a/src/libteaselcross/replication/store_revision.cpp
+++ b/src/libteaselcross/replication/store_revision.cpp
@@ -5,16 +5,15 @@
 namespace {
 
 constexpr auto number_bits = 48U;
-constexpr auto number_mask = (std::uint64_t{1} << number_bits) - 1;
 
 } // namespace
 
 auto encode_revision(const store_revision& revision) -> std::uint64_t {
-    return (revision.era << number_bits) | (revision.number & number_mask);
+    return (revision.era << number_bits) | (revision.number & max_revision_number);
 }
 
 auto decode_revision(std::uint64_t encoded) -> store_revision {
-    return {.era = encoded >> number_bits, .number = encoded & number_mask};
+    return {.era = encoded >> number_bits, .number = encoded & max_revision_number};
 }
 
 auto to_string(const store_revision& revision) -> std::string {
--- a/src/libteaselcross/replication/store_revision.h
+++ b/src/libteaselcross/replication/store_revision.h
@@ -18,11 +18,12 @@
     auto operator<=>(const store_revision&) const = default;
 };
 
-/// The highest era that encode_revision() can represent.
-constexpr auto max_era = std::uint64_t{65535};
+/// The highest values that encode_revision() can represent.
+constexpr auto max_era = (std::uint64_t{1} << 16U) - 1;
+constexpr auto max_revision_number = (std::uint64_t{1} << 48U) - 1;
 
 /// The revision as one number in the same order, as it is sent to other instances. Thread safe.
-/// @pre the number has at most 48 bits, and the era is at most max_era.
+/// @pre the number is at most max_revision_number, and the era at most max_era.
 auto encode_revision(const store_revision& revision) -> std::uint64_t;
 /// Reverses encode_revision(). Thread safe.
 auto decode_revision(std::uint64_t encoded) -> store_revision;
