Let the soak's store go back to an older copy of itself

The platform's store may now return from a copy that is some seconds old: revisions are given out again, Store-Era rises in all answers, a watch from a revision beyond the present one gets 410, the operator and the targets write their objects again. None of our stand-ins could do that, so no test of ours could see what it breaks.

The soak's store undoes its history back to a moment and writes the platform's objects again after a delay of up to a second each. Part of the writes met with silence may be done after it, as the platform allows. A conditional DELETE now heeds the revision in its query, and forgetting the history keeps it for going back.

--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -1,11 +1,15 @@
 #include "store.h"
 
 #include "platform/names.h"
+#include "runtime/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <sstream>
 
@@ -64,63 +68,133 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-auto store::note(const std::string& kind, const json& object, bool deleted) -> void {
-    m_history.push_back({.revision = m_revision, .kind = kind, .object = object, .deleted = deleted});
+auto store::note(const std::string& kind, const json& object, bool deleted, json before) -> void {
+    m_history.push_back({.revision = m_revision,
+                         .kind = kind,
+                         .object = object,
+                         .deleted = deleted,
+                         .at = monotonic_now(),
+                         .before = std::move(before)});
     if (m_history.size() > most_history) {
-        m_forgotten = m_history.front().revision;
+        m_forgotten = std::max(m_forgotten, m_history.front().revision);
         m_history.pop_front();
     }
 }
 
 auto store::compact() -> void {
     m_forgotten = m_revision;
-    m_history.clear();
+}
+
+auto store::restore(duration age, duration rewrite_within) -> void {
+    const auto copied_at = monotonic_now() - age;
+    for (; !m_history.empty() && m_history.back().at > copied_at; m_history.pop_back()) {
+        auto& undone = m_history.back();
+        auto& objects = m_objects[undone.kind];
+        const auto name = undone.object.at("metadata").at("name").get<std::string>();
+        if (undone.before.is_null()) {
+            objects.erase(name);
+        } else {
+            objects[name] = std::move(undone.before);
+        }
+        m_revision = undone.revision - 1;
+    }
+    m_forgotten = std::min(m_forgotten, m_revision);
+    ++m_era;
+    for (const auto& [kind, objects] : m_platform_objects) {
+        for (const auto& each : objects) {
+            const auto share = std::uniform_real_distribution<double>{}(m_random);
+            const auto delay = std::chrono::duration_cast<duration>(rewrite_within * share);
+            asio::co_spawn(m_context, rewrite(kind, each.first, delay), asio::detached);
+        }
+    }
+}
+
+auto store::rewrite(std::string kind, std::string name, duration delay) -> asio::awaitable<void> {
+    co_await pause(delay);
+    const auto& spec = m_platform_objects[kind][name];
+    if (spec.is_null()) {
+        erase(kind, name);
+    } else {
+        change(kind, name, spec);
+    }
+}
+
+auto store::spec(const std::string& key) const -> json {
+    const auto slash = key.find('/');
+    const auto objects = m_objects.find(key.substr(0, slash));
+    if (objects == m_objects.end()) {
+        return {};
+    }
+    const auto found = objects->second.find(key.substr(slash + 1));
+    return found == objects->second.end() ? json{} : found->second.at("spec");
 }
 
 auto store::put(const std::string& kind, const std::string& name, json spec) -> void {
+    m_platform_objects[kind][name] = spec;
+    change(kind, name, std::move(spec));
+}
+
+auto store::remove(const std::string& kind, const std::string& name) -> void {
+    m_platform_objects[kind][name] = nullptr;
+    erase(kind, name);
+}
+
+auto store::change(const std::string& kind, const std::string& name, json spec) -> void {
     auto& object = m_objects[kind][name];
     if (!object.is_null() && object.at("spec") == spec) {
         return;
     }
-    object = {{"metadata", {{"name", name}, {"revision", ++m_revision}}}, {"spec", std::move(spec)}};
-    note(kind, object, false);
+    auto before = std::exchange(
+        object, {{"metadata", {{"name", name}, {"revision", ++m_revision}}}, {"spec", std::move(spec)}});
+    note(kind, object, false, std::move(before));
 }
 
-auto store::remove(const std::string& kind, const std::string& name) -> void {
+auto store::erase(const std::string& kind, const std::string& name) -> void {
     const auto found = m_objects[kind].find(name);
     if (found != m_objects[kind].end()) {
         ++m_revision;
-        note(kind, found->second, true);
+        note(kind, found->second, true, found->second);
         m_objects[kind].erase(found);
     }
 }
 
+/// Sends a response of the era in which the call was handled.
+auto store::answer(responder& from, http_response response) -> asio::awaitable<bool> {
+    response.set(platform::names::store_era_header, std::to_string(m_era));
+    co_return co_await write_answer(from, std::move(response));
+}
+
 auto store::handle(responder& from, http_request request) -> asio::awaitable<bool> {
     const auto mode = m_faults.mode;
+    const auto late_writes = m_faults.late_writes;
     while (m_faults.mode == store_mode::silent && mode == store_mode::silent) {
         co_await pause(watch_poll * 10);
     }
-    if (mode == store_mode::silent) {
-        co_return false; // A call that was met with silence is never answered.
+    const auto asked = call{std::string{request.target()}};
+    if (mode == store_mode::silent) { // A call that was met with silence is never answered.
+        if (late_writes > 0 && request.method() != http::verb::get &&
+            std::uniform_real_distribution<double>{}(m_random) < late_writes) {
+            static_cast<void>(write(request, asked));
+        }
+        co_return false;
     }
     co_await pause(answer_time + m_faults.delay);
     if (m_faults.mode == store_mode::refusing) {
-        co_return co_await write_answer(from, json_answer(request, http::status::service_unavailable, "{}"));
+        co_return co_await answer(from, json_answer(request, http::status::service_unavailable, "{}"));
     }
-    const auto asked = call{std::string{request.target()}};
     if (request.method() != http::verb::get) {
-        auto answer = write(request, asked);
+        auto response = write(request, asked);
         if (std::uniform_real_distribution<double>{}(m_random) < m_faults.lost_answers) {
             co_return false;
         }
-        co_return co_await write_answer(from, std::move(answer));
+        co_return co_await answer(from, std::move(response));
     }
     if (asked.query.contains("watch")) {
-        auto answer = co_await watch(request, asked);
-        co_return m_faults.mode == store_mode::up&& co_await write_answer(from, std::move(answer));
+        auto response = co_await watch(request, asked);
+        co_return m_faults.mode == store_mode::up&& co_await answer(from, std::move(response));
     }
-    auto answer = asked.name.empty() ? list(request, asked) : read(request, asked);
-    co_return co_await write_answer(from, std::move(answer));
+    auto response = asked.name.empty() ? list(request, asked) : read(request, asked);
+    co_return co_await answer(from, std::move(response));
 }
 
 auto store::read(const http_request& request, const call& asked) -> http_response {
@@ -146,9 +220,10 @@
 auto store::watch(const http_request& request, const call& asked) -> asio::awaitable<http_response> {
     const auto from = to_number(asked.query.at("watch"));
     const auto wait = asked.query.find("wait-ms");
+    const auto era = m_era;
     auto left = duration{std::chrono::milliseconds{wait == asked.query.end() ? 0 : to_number(wait->second)}};
     while (true) {
-        if (from < m_forgotten) {
+        if (from < m_forgotten || from > m_revision || m_era != era) {
             co_return json_answer(request, http::status::gone, "{}");
         }
         auto events = json::array();
@@ -178,15 +253,17 @@
         return creates ? json_answer(request, http::status::conflict, found->second.dump())
                        : json_answer(request, http::status::not_found, "{}");
     }
-    if (exists && metadata.contains("revision") &&
-        metadata.at("revision") != found->second.at("metadata").at("revision")) {
+    const auto in_query = asked.query.find("revision");
+    const auto expected = in_query == asked.query.end() ? metadata.value("revision", json{})
+                                                        : json(to_number(in_query->second));
+    if (exists && !expected.is_null() && expected != found->second.at("metadata").at("revision")) {
         return json_answer(request, http::status::conflict, found->second.dump());
     }
     if (removes) {
-        remove(asked.kind, name);
+        erase(asked.kind, name);
         return json_answer(request, http::status::ok, "{}");
     }
-    put(asked.kind, name, body.value("spec", json{}));
+    change(asked.kind, name, body.value("spec", json{}));
     return json_answer(request, http::status::ok, m_objects[asked.kind][name].dump());
 }
 
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -1,9 +1,9 @@
 #pragma once
 
-// A stand-in for the platform's store: objects with revisions, conditional writes, pages and watches.
+// A stand-in for the platform's store: objects with revisions, conditional writes, pages and watches. It can
+// come back from an older copy of itself.
 
 #include "http/server.h"
-#include "journal.h"
 
 #include <nlohmann/json.hpp>
 
@@ -20,6 +20,7 @@
     store_mode mode = store_mode::up;
     duration delay{};
     double lost_answers = 0; ///< Share of writes that are done and not answered.
+    double late_writes = 0;  ///< Share of the writes met with silence that are done after it, unanswered.
 };
 
 class store {
@@ -30,6 +31,13 @@
     auto faults() -> store_faults& { return m_faults; }
     /// Forgets the history, so that watches have to list anew.
     auto compact() -> void;
+    /// Goes back to the state of @a age ago and starts the next era. What the platform itself wrote since is
+    /// written again, each object after a delay of up to @a rewrite_within. Watches that wait get 410.
+    auto restore(duration age, duration rewrite_within) -> void;
+    auto era() const -> std::uint64_t { return m_era; }
+    auto port() const -> std::uint16_t { return m_server.port(); }
+    /// The specification of the object with the key KIND/NAME; null if there is none.
+    auto spec(const std::string& key) const -> nlohmann::json;
 
     /// Writes and removes for the platform itself, whatever the faults.
     auto put(const std::string& kind, const std::string& name, nlohmann::json spec) -> void;
@@ -41,6 +49,8 @@
         std::string kind;
         nlohmann::json object;
         bool deleted = false;
+        instant at{};
+        nlohmann::json before; ///< The object that was replaced or removed; null if there was none.
     };
     struct call;
 
@@ -49,7 +59,12 @@
     auto list(const http_request& request, const call& asked) -> http_response;
     auto watch(const http_request& request, const call& asked) -> boost::asio::awaitable<http_response>;
     auto write(const http_request& request, const call& asked) -> http_response;
-    auto note(const std::string& kind, const nlohmann::json& object, bool deleted) -> void;
+    auto answer(responder& from, http_response response) -> boost::asio::awaitable<bool>;
+    auto change(const std::string& kind, const std::string& name, nlohmann::json spec) -> void;
+    auto erase(const std::string& kind, const std::string& name) -> void;
+    auto note(const std::string& kind, const nlohmann::json& object, bool deleted, nlohmann::json before)
+        -> void;
+    auto rewrite(std::string kind, std::string name, duration delay) -> boost::asio::awaitable<void>;
     auto pause(duration period) -> boost::asio::awaitable<void>;
 
     boost::asio::io_context& m_context;
@@ -58,7 +73,10 @@
     store_faults m_faults;
     std::uint64_t m_revision = 1;
     std::uint64_t m_forgotten = 0; ///< The latest revision that the history lacks.
+    std::uint64_t m_era = 1;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects; ///< By kind and name.
+    /// Specifications as the platform last wrote them, by kind and name; null where it removed the object.
+    std::map<std::string, std::map<std::string, nlohmann::json>> m_platform_objects;
     std::deque<event> m_history;
 };
 
