Soak restores of the store from an older copy, among the other faults

In seeds from 1000 on, three of four take the store away 2 to 4 times in a run, for 0.2 to 3 s, silent or refusing, and bring it back without its last 1 to 10 s. Before that a target with keys leaves or crashes, or the configuration changes; meanwhile the lease's holder is killed, frozen or cut off from the store, or all instances are killed, or nothing else happens. Restores are drawn from a generator of their own, and seeds below 1000 have none: 605, 624 and the others keep their schedule and test what they tested (a fault beside a planned stop would lift its check).

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -16,8 +16,19 @@
 namespace {
 
 constexpr auto grace = duration{std::chrono::seconds{6}};
+constexpr auto first_restore = duration{std::chrono::seconds{4}}; ///< After the begin of the faults.
+constexpr auto pause_between_restores = duration{std::chrono::milliseconds{500}}; ///< Once to eight times.
+constexpr auto longest_restart = duration{std::chrono::seconds{3}};
+constexpr auto kinds_before_restore = 4U; ///< The last of them is none, here and below.
+constexpr auto kinds_beside_restore = 5U;
+constexpr auto rewrite_within = duration{std::chrono::seconds{1}}; ///< After a restore, by the platform.
+constexpr auto late_writes = 0.5;                                  ///< Share, at a restore.
 constexpr auto thaw_allowance = duration{std::chrono::milliseconds{300}};
 
+auto milliseconds(duration length) -> std::string {
+    return std::to_string(length.count() / 1000) + " ms";
+}
+
 } // namespace
 
 auto soak::disturb(std::size_t instance) -> void {
@@ -31,15 +42,32 @@
     }
 }
 
-auto soak::kill_instance() -> asio::awaitable<void> {
-    const auto index = m_random() % m_processes.size();
+auto soak::begin_fault() -> void {
+    ++m_faults_now;
+    for (auto& each : m_fronts) {
+        each.stopping_since.reset(); // From here on, an answer may be cut by this fault.
+    }
+}
+
+auto soak::lease_holder() const -> std::size_t {
+    const auto lease = m_store.spec(platform::kinds::controller_lease);
+    const auto holder = lease.is_object() ? lease.value("holder", std::string{}) : std::string{};
+    for (std::size_t index = 0; index < m_processes.size(); ++index) {
+        if (holder.starts_with(m_processes[index].name + "#")) {
+            return index;
+        }
+    }
+    return 0;
+}
+
+auto soak::kill_instance(std::size_t index) -> asio::awaitable<void> {
     auto& chosen = m_processes[index];
     tell("kill " + chosen.name);
     disturb(index);
     end(chosen);
     co_await pause(seconds(0.2, 3));
     if (chosen.pid == 0) {
-        launch(chosen);
+        launch(index);
     }
     settle(index);
 }
@@ -71,13 +99,12 @@
         end(chosen);
     }
     if (chosen.pid == 0) {
-        launch(chosen);
+        launch(index);
     }
     settle(index);
 }
 
-auto soak::freeze_instance() -> asio::awaitable<void> {
-    const auto index = m_random() % m_processes.size();
+auto soak::freeze_instance(std::size_t index) -> asio::awaitable<void> {
     auto& chosen = m_processes[index];
     const auto pid = chosen.pid;
     if (pid == 0) {
@@ -85,7 +112,7 @@
     }
     const auto length = seconds(0.3, 6);
     disturb(index);
-    tell("freeze " + chosen.name + " for " + std::to_string(length.count() / 1000) + " ms");
+    tell("freeze " + chosen.name + " for " + milliseconds(length));
     ::kill(pid, SIGSTOP);
     chosen.is_frozen = true;
     co_await pause(length);
@@ -122,8 +149,7 @@
     }
 }
 
-auto soak::break_store_link() -> asio::awaitable<void> {
-    const auto index = m_random() % m_processes.size();
+auto soak::break_store_link(std::size_t index) -> asio::awaitable<void> {
     auto& chosen = m_processes[index];
     disturb(index);
     const auto mode = static_cast<link_mode>(1 + m_random() % 3);
@@ -145,8 +171,7 @@
     m_seen.late_orders_until = monotonic_now() + thaw_allowance;
 }
 
-auto soak::crash_target() -> asio::awaitable<void> {
-    auto& chosen = *m_targets.all()[m_random() % m_targets.all().size()];
+auto soak::crash_target(target& chosen) -> asio::awaitable<void> {
     if (!chosen.up()) {
         co_return;
     }
@@ -158,14 +183,13 @@
     }
 }
 
-auto soak::drain_target() -> asio::awaitable<void> {
-    auto& chosen = *m_targets.all()[m_random() % m_targets.all().size()];
+auto soak::drain_target(target& chosen, double least, double most) -> asio::awaitable<void> {
     if (!chosen.up() || m_store.faults().mode != store_mode::up) {
         co_return;
     }
     tell("drain " + chosen.options().id);
     chosen.drain();
-    co_await pause(drain_bound + seconds(1, 2));
+    co_await pause(drain_bound + seconds(least, most));
     if (chosen.up()) {
         chosen.crash();
     }
@@ -185,35 +209,109 @@
     m_targets.return_to_service(name);
 }
 
-auto soak::one_fault(int kind) -> asio::awaitable<void> {
-    ++m_faults_now;
-    for (auto& each : m_fronts) {
-        each.stopping_since.reset(); // From here on, an answer may be cut by this fault.
+/// The store is away for a moment and comes back from an older copy, which mostly lacks a change of owners or
+/// of the configuration. The controller may fail meanwhile.
+auto soak::restore_store() -> asio::awaitable<void> {
+    const auto drawn = [this](double least, double most) {
+        const auto length = std::uniform_real_distribution<double>{least, most}(m_restore_random);
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(length));
+    };
+    begin_fault();
+    const auto before = m_restore_random() % kinds_before_restore;
+    const auto beside = m_restore_random() % kinds_beside_restore;
+    auto& moved = *m_targets.all()[3 * (m_restore_random() % (m_targets.all().size() / 3))]; // Holds keys.
+    spawn(m_context, change_before_restore(before, moved));
+    co_await pause(drain_bound + drawn(0.5, 1.5));
+    const auto mode = m_restore_random() % 2 == 0 ? store_mode::refusing : store_mode::silent;
+    const auto away = drawn(0.2, 3);
+    const auto lost = drawn(1, 10);
+    for (std::size_t index = 0; index < m_processes.size(); ++index) {
+        disturb(index);
+    }
+    tell("store away for " + milliseconds(away) + " after change " + std::to_string(before) +
+         ", beside fault " + std::to_string(beside));
+    m_store.faults() = {.mode = mode, .late_writes = late_writes};
+    spawn(m_context, disturb_beside_restore(beside));
+    co_await pause(away);
+    m_store.restore(away + lost, rewrite_within);
+    m_store.faults() = {};
+    tell("store back without its last " + milliseconds(lost));
+    for (std::size_t index = 0; index < m_processes.size(); ++index) {
+        settle(index);
     }
+    --m_faults_now;
+}
+
+auto soak::change_before_restore(std::uint64_t kind, target& moved) -> asio::awaitable<void> {
+    begin_fault();
+    if (kind == 0) { // All instances know that it leaves when the store goes back.
+        co_await drain_target(moved, 6, 8);
+    } else if (kind == 1) {
+        co_await crash_target(moved);
+    } else if (kind == 2) {
+        co_await pause(drain_bound);
+        write_config();
+    }
+    --m_faults_now;
+}
+
+auto soak::disturb_beside_restore(std::uint64_t kind) -> asio::awaitable<void> {
+    begin_fault();
+    const auto holder = lease_holder();
+    if (kind == 0) {
+        co_await kill_instance(holder);
+    } else if (kind == 1) {
+        co_await freeze_instance(holder);
+    } else if (kind == 2) {
+        co_await break_store_link(holder);
+    } else if (kind == 3) {
+        for (std::size_t index = 0; index < m_processes.size(); ++index) {
+            spawn(m_context, kill_instance(index));
+        }
+        co_await pause(longest_restart);
+    }
+    --m_faults_now;
+}
+
+/// A few in each run that has them, one after the other.
+auto soak::restores(instant until) -> asio::awaitable<void> {
+    if (m_options.seed < first_seed_with_restores || m_options.seed % 4 == 0) {
+        co_return;
+    }
+    const auto times = 2 + m_restore_random() % 3;
+    co_await pause(first_restore);
+    for (std::uint64_t count = 0; count < times && monotonic_now() < until; ++count) {
+        co_await restore_store();
+        co_await pause(pause_between_restores * (1 + m_restore_random() % 8));
+    }
+}
+
+auto soak::one_fault(int kind) -> asio::awaitable<void> {
+    begin_fault();
     switch (kind) {
     case 0:
-        co_await kill_instance();
+        co_await kill_instance(any_instance());
         break;
     case 1:
         co_await stop_instance();
         break;
     case 2:
-        co_await freeze_instance();
+        co_await freeze_instance(any_instance());
         break;
     case 3:
         co_await break_store();
         break;
     case 4:
-        co_await break_store_link();
+        co_await break_store_link(any_instance());
         break;
     case 5:
         co_await break_target_link();
         break;
     case 6:
-        co_await crash_target();
+        co_await crash_target(any_target());
         break;
     case 7:
-        co_await drain_target();
+        co_await drain_target(any_target(), 1, 2);
         break;
     case 8:
         co_await take_out();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -37,16 +37,6 @@
 constexpr auto lapse = heartbeat * 3; ///< Silence after which a target's entry is removed.
 constexpr auto start_up = duration{std::chrono::seconds{8}};
 
-/// Runs @a work on its own. An exception is a fault of the soak itself, which must not go on without that
-/// part.
-auto spawn(asio::io_context& context, asio::awaitable<void> work) -> void {
-    asio::co_spawn(context, std::move(work), [](const std::exception_ptr& fault) {
-        if (fault) {
-            std::rethrow_exception(fault);
-        }
-    });
-}
-
 auto began() -> instant {
     static const auto at = monotonic_now();
     return at;
@@ -55,7 +45,7 @@
 } // namespace
 
 soak::soak(soak_options options)
-    : m_options{std::move(options)}, m_random{m_options.seed},
+    : m_options{std::move(options)}, m_random{m_options.seed}, m_restore_random{m_options.seed + 1},
       m_store{m_context, address(store_port), m_options.seed}, m_targets{m_context, m_store, m_seen,
                                                                          drain_bound, m_options.seed} {
     std::filesystem::create_directories(m_options.directory);
@@ -157,7 +147,8 @@
          {"limits", {{"idle-timeout-s", 10 + m_version % 5}}}});
 }
 
-auto soak::launch(process& started) -> void {
+auto soak::launch(std::size_t instance) -> void {
+    auto& started = m_processes[instance];
     auto actions = posix_spawn_file_actions_t{};
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, started.log_file.c_str(),
@@ -223,6 +214,7 @@
     tell("faults begin");
     const auto until = monotonic_now() +
                        std::chrono::duration_cast<duration>(std::chrono::duration<double>(m_options.seconds));
+    spawn(m_context, restores(until));
     while (monotonic_now() < until) {
         spawn(m_context, series(static_cast<int>(m_random() % kinds)));
         co_await pause(seconds(0.4, 3));
@@ -238,9 +230,9 @@
     tell("faults are over");
     m_playing = true;
     spawn(m_context, heartbeats());
-    for (auto& each : m_processes) {
-        if (each.pid == 0) {
-            launch(each);
+    for (std::size_t index = 0; index < m_processes.size(); ++index) {
+        if (m_processes[index].pid == 0) {
+            launch(index);
         }
     }
     co_await pause(recovery_bound);
@@ -266,9 +258,9 @@
         m_target_links[index]->start();
         m_targets.all()[index]->start();
     }
-    for (auto& each : m_processes) {
-        each.store_link->start();
-        launch(each);
+    for (std::size_t index = 0; index < m_processes.size(); ++index) {
+        m_processes[index].store_link->start();
+        launch(index);
     }
     write_config();
     m_signals.async_wait([this](const boost::system::error_code& error, int) {
@@ -289,6 +281,14 @@
     return m_seen.broken == 0 ? 0 : 1;
 }
 
+auto spawn(asio::io_context& context, asio::awaitable<void> work) -> void {
+    asio::co_spawn(context, std::move(work), [](const std::exception_ptr& fault) {
+        if (fault) {
+            std::rethrow_exception(fault);
+        }
+    });
+}
+
 auto is_in_touch(const journal& seen, const std::string& request, instant now) -> bool {
     const auto taken = seen.taken_by.find(request);
     return taken != seen.taken_by.end() && now >= seen.in_touch_from[taken->second];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,6 +21,8 @@
 
 namespace teaselcross::soak {
 
+/// Earlier seeds are kept as they were recorded, before the store could go back.
+constexpr auto first_seed_with_restores = std::uint64_t{1000};
 constexpr auto drain_bound = duration{std::chrono::seconds{2}};
 /// By index of an instance or a target, in turn.
 constexpr auto data_centres = std::array<const char*, 2>{"west", "east"};
@@ -44,6 +46,10 @@
     bool is_frozen = false;
 };
 
+/// Runs @a work on its own. An exception is a fault of the soak itself, which must not go on without that
+/// part.
+auto spawn(boost::asio::io_context& context, boost::asio::awaitable<void> work) -> void;
+
 /// Belongs to one thread. Ends the processes that it has started, by their ids.
 class soak {
 public:
@@ -60,7 +66,7 @@
     auto seconds(double least, double most) -> duration;
     auto write_settings(std::size_t index) -> void;
     auto write_config() -> void;
-    auto launch(process& started) -> void;
+    auto launch(std::size_t instance) -> void;
     auto end(process& ended) -> void;
     auto heartbeats() -> boost::asio::awaitable<void>;
     auto play() -> boost::asio::awaitable<void>;
@@ -69,14 +75,24 @@
     /// The instance is disturbed from now on, until settle() starts its time of rest.
     auto disturb(std::size_t instance) -> void;
     auto settle(std::size_t instance) -> void;
-    auto kill_instance() -> boost::asio::awaitable<void>;
+    auto any_instance() -> std::size_t { return m_random() % m_processes.size(); }
+    auto any_target() -> target& { return *m_targets.all()[m_random() % m_targets.all().size()]; }
+    /// The instance that holds the controller's lease, as the store has it.
+    auto lease_holder() const -> std::size_t;
+    auto begin_fault() -> void;
+    auto kill_instance(std::size_t index) -> boost::asio::awaitable<void>;
     auto stop_instance() -> boost::asio::awaitable<void>;
-    auto freeze_instance() -> boost::asio::awaitable<void>;
+    auto freeze_instance(std::size_t index) -> boost::asio::awaitable<void>;
     auto break_store() -> boost::asio::awaitable<void>;
-    auto break_store_link() -> boost::asio::awaitable<void>;
+    auto break_store_link(std::size_t index) -> boost::asio::awaitable<void>;
     auto break_target_link() -> boost::asio::awaitable<void>;
-    auto crash_target() -> boost::asio::awaitable<void>;
-    auto drain_target() -> boost::asio::awaitable<void>;
+    auto crash_target(target& chosen) -> boost::asio::awaitable<void>;
+    /// The target serves for a time between @a least and @a most, in seconds, beyond its bound.
+    auto drain_target(target& chosen, double least, double most) -> boost::asio::awaitable<void>;
+    auto restores(instant until) -> boost::asio::awaitable<void>;
+    auto restore_store() -> boost::asio::awaitable<void>;
+    auto change_before_restore(std::uint64_t kind, target& moved) -> boost::asio::awaitable<void>;
+    auto disturb_beside_restore(std::uint64_t kind) -> boost::asio::awaitable<void>;
     auto take_out() -> boost::asio::awaitable<void>;
     auto finish() -> boost::asio::awaitable<void>;
 
@@ -84,6 +100,7 @@
     boost::asio::io_context m_context{1};
     boost::asio::signal_set m_signals{m_context, SIGINT, SIGTERM};
     std::mt19937_64 m_random;
+    std::mt19937_64 m_restore_random; ///< Apart, so that restores don't change a seed's other faults.
     journal m_seen;
     store m_store;
     target_group m_targets;
