Check in the soak that fences rise, overlaps, leaving targets and configurations in force

The soak saw a grant that overlaps another target's hold, but not these, which the restores break: - a fence that is not above all that other targets had for the key, in any of their lives; - a grant for keys on which another target still works within its hold; - a leaving target that is forgotten by an instance that was told, also while the store is away; - a configuration that is not in force on an instance in touch within 2 s of its confirmation, or that reverts within one life of a process: each version adds a route, and a probe asks each instance for it seven times a second. A target now refuses a grant below any fence that its life has seen, as the platform's targets do; before, it forgot the fences of keys that it had released.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -22,6 +22,12 @@
 constexpr auto most_keys = 65536U;
 constexpr auto keyed_share = 5U; ///< Of ten requests.
 constexpr auto at_most_once_share = 3U;
+constexpr auto probe_interval = duration{std::chrono::milliseconds{150}};
+/// Time after which a configuration is in force, by the platform's rules.
+constexpr auto config_bound = duration{std::chrono::seconds{2}};
+constexpr auto config_slack = duration{std::chrono::milliseconds{300}};
+/// A request that is sent so long after an effect of a configuration was seen finds no older one.
+constexpr auto revert_bound = duration{std::chrono::milliseconds{250}};
 
 auto pause(asio::io_context& context, duration period) -> asio::awaitable<void> {
     auto timer = asio::steady_timer{context, period};
@@ -46,6 +52,9 @@
     for (auto& each : m_fronts) {
         asio::co_spawn(m_context, ask_readiness(each), asio::detached);
     }
+    for (std::size_t index = 0; index < m_fronts.size(); ++index) {
+        asio::co_spawn(m_context, probe_config(index), asio::detached);
+    }
 }
 
 auto callers::ask_readiness(front& asked) -> asio::awaitable<void> {
@@ -115,6 +124,54 @@
     }
 }
 
+auto callers::probe_config(std::size_t instance) -> asio::awaitable<void> {
+    auto known_life = std::uint64_t{0}; // Of the process that has served a version's route.
+    auto known_version = std::uint64_t{0};
+    auto known_since = instant{};
+    auto reported = std::pair{known_life, known_version}; // Once for each process and version.
+    while (!m_stopping) {
+        co_await pause(m_context, probe_interval);
+        const auto version = m_seen.config_version;
+        const auto written_at = m_seen.config_written_at;
+        const auto life = m_seen.lives[instance];
+        const auto sent_at = monotonic_now();
+        if (!m_fronts[instance].in_rotation || version == 0 || reported == std::pair{life, version}) {
+            continue;
+        }
+        const auto id = std::to_string(m_run) + "-" + std::to_string(++m_sent);
+        m_seen.taken_by[id] = instance;
+        auto request = http_request{http::verb::get, path_of_version(version) + "x", 11};
+        request.set(http::field::host, "soak.example");
+        request.set(names::attempt_id, id);
+        request.set(names::time_left_ms, "1000");
+        ++m_in_flight;
+        auto peer = m_fronts[instance].address;
+        const auto answer = co_await perform_exchange(m_pool, std::move(peer), std::move(request),
+                                                      m_options.patience, largest_answer);
+        --m_in_flight;
+        if (!answer || m_seen.lives[instance] != life) {
+            continue;
+        }
+        ++m_seen.counts["probe " + std::to_string(answer->result_int())];
+        const auto what = "version " + std::to_string(version) + " at " + m_fronts[instance].address.host;
+        if (http::to_status_class(answer->result()) == http::status_class::successful) {
+            if (known_life != life || known_version != version) {
+                known_since = monotonic_now();
+            }
+            known_life = life;
+            known_version = version;
+        } else if (answer->result() != http::status::not_found) {
+            continue; // Says nothing of the configuration.
+        } else if (known_life == life && known_version == version && sent_at > known_since + revert_bound) {
+            report_broken(m_seen, "a configuration never reverts", what);
+            reported = {life, version};
+        } else if (sent_at > written_at + config_bound + config_slack && is_in_touch(m_seen, id, sent_at)) {
+            report_broken(m_seen, "a configuration is in force in time", what);
+            reported = {life, version};
+        }
+    }
+}
+
 auto callers::judge(const front& to, const std::string& id, const http_response& answer) -> void {
     const auto status = answer.result_int();
     ++m_seen.counts[std::to_string(status)];
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -23,6 +23,11 @@
     std::optional<instant> stopping_since;
 };
 
+/// The path that each configuration adds to those of the versions before it.
+inline auto path_of_version(std::uint64_t version) -> std::string {
+    return "/version-" + std::to_string(version) + "/";
+}
+
 struct caller_options {
     double rate = 150; ///< Requests a second of all callers.
     duration patience = std::chrono::milliseconds{1000};
@@ -33,7 +38,8 @@
     callers(boost::asio::io_context& context, std::vector<front>& fronts, journal& seen,
             caller_options options, std::uint64_t seed);
 
-    /// Sends requests until stop(), and asks for readiness once a second.
+    /// Sends requests until stop(), asks for readiness once a second, and checks which configuration is in
+    /// force on each instance.
     auto start() -> void;
     auto stop() -> void { m_stopping = true; }
     auto in_flight() const -> std::size_t { return m_in_flight; }
@@ -49,6 +55,8 @@
     auto arrive() -> boost::asio::awaitable<void>;
     auto ask_readiness(front& asked) -> boost::asio::awaitable<void>;
     auto send(std::size_t instance) -> boost::asio::awaitable<void>;
+    /// Asks one instance again and again for the route that the latest configuration has added.
+    auto probe_config(std::size_t instance) -> boost::asio::awaitable<void>;
     auto judge(const front& to, const std::string& id, const http_response& answer) -> void;
 
     boost::asio::io_context& m_context;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -189,7 +189,10 @@
     }
     tell("drain " + chosen.options().id);
     chosen.drain();
-    co_await pause(drain_bound + seconds(least, most));
+    const auto beyond = seconds(least, most);
+    co_await pause(drain_bound + drain_slack);
+    chosen.note_informed_instances();
+    co_await pause(beyond - drain_slack);
     if (chosen.up()) {
         chosen.crash();
     }
--- a/tests/soak/journal.h
+++ b/tests/soak/journal.h
@@ -20,7 +20,10 @@
     std::set<std::string> said_not_run;          ///< Requests whose caller was told so.
     std::map<std::string, std::size_t> taken_by; ///< The instance that each request was sent to.
     std::vector<instant> in_touch_from;          ///< By instance; the latest instant while it is disturbed.
-    instant late_orders_until{};                 ///< Orders that a thawed instance sends late don't count.
+    std::vector<std::uint64_t> lives;            ///< How often each instance's process was started.
+    std::uint64_t config_version = 0;            ///< The latest that was written.
+    instant config_written_at{};
+    instant late_orders_until{}; ///< Orders that a thawed instance sends late don't count.
 };
 
 /// Bounds in time hold for instances that have been undisturbed for so long, by the platform's rules.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -74,6 +74,7 @@
         write_settings(index);
     }
     m_seen.in_touch_from.resize(m_options.instances);
+    m_seen.lives.resize(m_options.instances);
     m_disturbances.resize(m_options.instances);
     m_callers = std::make_unique<callers>(m_context, m_fronts, m_seen, caller_options{}, m_options.seed);
 }
@@ -119,11 +120,11 @@
 }
 
 auto soak::write_config() -> void {
-    const auto rule = [](const char* name, const char* kind) {
-        return json{{"name", name},
+    const auto rule = [](const std::string& path, const char* service, const char* kind) {
+        return json{{"name", path.substr(1, path.size() - 2)},
                     {"kind", kind},
-                    {"match", {{"path-prefix", std::string{"/"} + name + "/"}}},
-                    {"action", {{"service", name}, {"timeout-s", 0.9}, {"max-attempts", 3}}},
+                    {"match", {{"path-prefix", path}}},
+                    {"action", {{"service", service}, {"timeout-s", 0.9}, {"max-attempts", 3}}},
                     {"target-latency-s", 0.4},
                     {"priority", 1}};
     };
@@ -137,18 +138,24 @@
                             {"sharded", std::string{name} == "keyed"}});
     }
     m_version += 1 + m_random() % 3;
-    m_store.put(
-        platform::kinds::routes, "main",
-        {{"version", m_version},
-         {"listeners",
-          {{{"host", "soak.example"},
-            {"rules", {rule("keyed", "safe"), rule("once", "non_idempotent"), rule("bulk", "download")}}}}},
-         {"clusters", clusters},
-         {"limits", {{"idle-timeout-s", 10 + m_version % 5}}}});
+    m_versions.push_back(m_version);
+    auto rules = json::array({rule("/keyed/", "keyed", "safe"), rule("/once/", "once", "non_idempotent"),
+                              rule("/bulk/", "bulk", "download")});
+    for (const auto version : m_versions) {
+        rules.push_back(rule(path_of_version(version), "bulk", "download"));
+    }
+    m_store.put(platform::kinds::routes, "main",
+                {{"version", m_version},
+                 {"listeners", json::array({{{"host", "soak.example"}, {"rules", std::move(rules)}}})},
+                 {"clusters", clusters},
+                 {"limits", {{"idle-timeout-s", 10 + m_version % 5}}}});
+    m_seen.config_version = m_version;
+    m_seen.config_written_at = monotonic_now();
 }
 
 auto soak::launch(std::size_t instance) -> void {
     auto& started = m_processes[instance];
+    ++m_seen.lives[instance];
     auto actions = posix_spawn_file_actions_t{};
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, started.log_file.c_str(),
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -109,7 +109,8 @@
     std::vector<front> m_fronts;
     std::unique_ptr<callers> m_callers;
     std::uint64_t m_version = 0;
-    std::vector<int> m_disturbances; ///< Faults that are on, by instance.
+    std::vector<std::uint64_t> m_versions; ///< All that were written; each has added a route.
+    std::vector<int> m_disturbances;       ///< Faults that are on, by instance.
     int m_faults_now = 0;
     bool m_playing = true;
 };
--- a/tests/soak/targets.cpp
+++ b/tests/soak/targets.cpp
@@ -22,11 +22,10 @@
 
 /// A target's clock may run slow, so a grant holds for longer than it says.
 constexpr auto slow_clock = 1.02;
-/// News of a leaving target reach instances within the bound; what was sent before is on its way for a
-/// moment.
-constexpr auto drain_slack = duration{std::chrono::milliseconds{300}};
 /// Time after which a data centre that is out of service gets no requests, as the settings have it.
 constexpr auto evacuation_bound = duration{std::chrono::seconds{5}};
+/// Requests that were sent before their sender knew of a leaving target may be held up for so long.
+constexpr auto most_held_up = duration{std::chrono::seconds{1}};
 constexpr auto work_poll = duration{std::chrono::milliseconds{2}};
 
 auto pause(asio::io_context& context, duration period) -> asio::awaitable<void> {
@@ -51,6 +50,8 @@
     m_sequence = 0;
     m_grants.clear();
     m_keys_at_work.clear();
+    m_fences.assign(last_shard_key + 1, 0);
+    m_informed.clear();
     m_running = m_waiting = 0;
     m_leaving_since.reset();
     m_up = true;
@@ -76,6 +77,25 @@
     announce();
 }
 
+auto target::note_informed_instances() -> void {
+    const auto& seen = m_group.seen();
+    for (std::size_t index = 0; index < seen.lives.size() && m_leaving_since; ++index) {
+        if (seen.in_touch_from[index] <= monotonic_now()) {
+            m_informed.emplace(index, seen.lives[index]);
+        }
+    }
+}
+
+auto target::highest_fence(shard_key first, shard_key last) const -> std::uint64_t {
+    return *std::max_element(m_all_fences.begin() + first, m_all_fences.begin() + last + 1);
+}
+
+auto target::works_on(shard_key first, shard_key last, instant now) const -> bool {
+    const auto end = m_keys_at_work.upper_bound(last);
+    return m_up && std::any_of(m_keys_at_work.lower_bound(first), end,
+                               [&](const auto& each) { return now < each.second.held_until; });
+}
+
 auto target::announce() -> void {
     m_group.registry().put(platform::kinds::targets, m_options.id,
                            {{"service", m_options.service},
@@ -96,6 +116,16 @@
            });
 }
 
+auto target::held_until(shard_key key) const -> instant {
+    auto until = instant{};
+    for (const auto& each : m_grants) {
+        if (each.first <= key && key <= each.last) {
+            until = std::max(until, each.until);
+        }
+    }
+    return until;
+}
+
 auto target::add_load(http_response& answer) -> void {
     answer.set(names::load, std::to_string(m_running) + "," + std::to_string(m_waiting) + "," +
                                 std::to_string(m_options.slots) + "," +
@@ -155,17 +185,20 @@
     const auto last = body.at("to").get<shard_key>();
     const auto fence = body.at("fence").get<std::uint64_t>();
     const auto now = monotonic_now();
-    const auto newer = std::any_of(m_grants.begin(), m_grants.end(), [&](const auto& each) {
-        return each.fence > fence && each.first <= last && first <= each.last;
-    });
-    if (newer) {
+    if (*std::max_element(m_fences.begin() + first, m_fences.begin() + last + 1) > fence) {
         return json_answer(request, http::status::conflict, "{}");
     }
+    std::fill(m_fences.begin() + first, m_fences.begin() + last + 1, fence);
     const auto excused = now < m_group.seen().late_orders_until;
-    if (!excused && m_group.held_elsewhere(*this, first, last, now)) {
-        report_broken(m_group.seen(), "one owner",
-                      m_options.id + " was granted " + std::to_string(first) + "-" + std::to_string(last) +
-                          " that another target holds, fence " + std::to_string(fence));
+    if (!excused) {
+        const auto harm = m_group.harm_of_grant(*this, first, last, fence, now);
+        if (!harm.empty()) {
+            report_broken(m_group.seen(), "one owner",
+                          m_options.id + " was granted " + std::to_string(first) + "-" +
+                              std::to_string(last) + " with fence " + std::to_string(fence) + ":" + harm);
+        }
+        std::for_each(m_all_fences.begin() + first, m_all_fences.begin() + last + 1,
+                      [&](auto& each) { each = std::max(each, fence); });
     }
     drop_overlap(first, last, fence);
     const auto hold = std::chrono::duration<double>(body.at("hold-s").get<double>() * slow_clock);
@@ -205,6 +238,11 @@
     if (late && is_in_touch(seen, id, now)) {
         report_broken(seen, "leaving targets get nothing new", m_options.id + " got " + id);
     }
+    const auto taken = seen.taken_by.find(id);
+    if (m_leaving_since && now > *m_leaving_since + m_group.drain() + drain_slack + most_held_up &&
+        taken != seen.taken_by.end() && m_informed.contains({taken->second, seen.lives[taken->second]})) {
+        report_broken(seen, "a leaving target is never forgotten", m_options.id + " got " + id);
+    }
     if (m_group.must_be_idle(m_options.data_centre, now) && is_in_touch(seen, id, now)) {
         report_broken(seen, "data centres out of service get nothing new", m_options.id + " got " + id);
     }
@@ -231,7 +269,9 @@
         report_broken(seen, "not run is true", id + " runs at " + m_options.id + " after its refusal");
     }
     if (key) {
-        ++m_keys_at_work[*key];
+        auto& at_work = m_keys_at_work[*key];
+        ++at_work.running;
+        at_work.held_until = held_until(*key);
     }
     const auto spread = std::gamma_distribution<double>{4.0, 0.25}(m_group.random());
     const auto took = std::chrono::duration_cast<duration>(m_options.work * spread * m_slowness);
@@ -240,7 +280,7 @@
         co_return false;
     }
     --m_running;
-    if (key && --m_keys_at_work[*key] == 0) {
+    if (key && --m_keys_at_work[*key].running == 0) {
         m_keys_at_work.erase(*key);
     }
     auto answer = http_response{http::status::ok, 11};
@@ -266,12 +306,25 @@
     return *m_targets.back();
 }
 
-auto target_group::held_elsewhere(const target& asking, shard_key first, shard_key last, instant now) const
-    -> bool {
-    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& each) {
-        return each.get() != &asking && each->options().service == asking.options().service &&
-               each->holds(first, last, now, false);
-    });
+auto target_group::harm_of_grant(const target& asking, shard_key first, shard_key last, std::uint64_t fence,
+                                 instant now) const -> std::string {
+    auto harm = std::string{};
+    for (const auto& each : m_targets) {
+        const auto& other = each->options();
+        if (each.get() == &asking || other.service != asking.options().service) {
+            continue;
+        }
+        if (each->holds(first, last, now, false)) {
+            harm += " " + other.id + " holds keys of it,";
+        } else if (each->works_on(first, last, now)) {
+            harm += " " + other.id + " still works on a key of it,";
+        }
+        const auto highest = each->highest_fence(first, last);
+        if (highest >= fence) {
+            harm += " " + other.id + " had fence " + std::to_string(highest) + " for a key of it,";
+        }
+    }
+    return harm;
 }
 
 } // namespace teaselcross::soak
--- a/tests/soak/targets.h
+++ b/tests/soak/targets.h
@@ -15,6 +15,10 @@
 
 namespace teaselcross::soak {
 
+/// News of a leaving target reach instances within the bound; what was sent before is on its way for a
+/// moment.
+constexpr auto drain_slack = duration{std::chrono::milliseconds{300}};
+
 struct target_options {
     std::string id;
     std::string service;
@@ -43,6 +47,12 @@
 
     auto options() const -> const target_options& { return m_options; }
     auto up() const -> bool { return m_up; }
+    /// Notes which instances must know by now that this target leaves; they may not forget it.
+    auto note_informed_instances() -> void;
+    /// The highest fence that it has ever taken for one of these keys, in all its lives.
+    auto highest_fence(shard_key first, shard_key last) const -> std::uint64_t;
+    /// Whether work on one of these keys goes on within the hold under which it began.
+    auto works_on(shard_key first, shard_key last, instant now) const -> bool;
     auto holds(shard_key first, shard_key last, instant now, bool excused_too) const -> bool;
     /// Writes its entry, as its heartbeat does.
     auto announce() -> void;
@@ -61,6 +71,7 @@
     auto release(const http_request& request) -> boost::asio::awaitable<http_response>;
     auto work(responder& from, const http_request& request) -> boost::asio::awaitable<bool>;
     auto refusal(const http_request& request, boost::beast::http::status status) -> http_response;
+    auto held_until(shard_key key) const -> instant;
     auto add_load(http_response& answer) -> void;
     auto drop_overlap(shard_key first, shard_key last, std::uint64_t most_fence) -> void;
 
@@ -69,7 +80,16 @@
     std::unique_ptr<http_server> m_server;
     std::vector<std::unique_ptr<http_server>> m_past_servers;
     std::vector<grant> m_grants;
-    std::map<shard_key, std::uint32_t> m_keys_at_work;
+    struct key_work {
+        std::uint32_t running = 0;
+        instant held_until{}; ///< Of the grant under which the latest of them began.
+    };
+
+    std::map<shard_key, key_work> m_keys_at_work;
+    std::vector<std::uint64_t> m_fences; ///< By key, the highest that this life has seen.
+    std::vector<std::uint64_t> m_all_fences =
+        std::vector<std::uint64_t>(last_shard_key + 1);         ///< Of all lives.
+    std::set<std::pair<std::size_t, std::uint64_t>> m_informed; ///< Instances and their lives.
     std::uint64_t m_birth = 0;
     std::uint64_t m_life = 0;
     std::uint64_t m_sequence = 0;
@@ -89,8 +109,9 @@
 
     auto add(target_options options) -> target&;
     auto all() -> std::vector<std::unique_ptr<target>>& { return m_targets; }
-    /// Whether another living target of the service holds some of these keys.
-    auto held_elsewhere(const target& asking, shard_key first, shard_key last, instant now) const -> bool;
+    /// The ways in which a grant to @a asking harms the other targets of its service; empty if it harms none.
+    auto harm_of_grant(const target& asking, shard_key first, shard_key last, std::uint64_t fence,
+                       instant now) const -> std::string;
 
     auto context() -> boost::asio::io_context& { return m_context; }
     auto registry() -> store& { return m_registry; }
