--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -19,7 +19,7 @@
 constexpr auto first_restore = duration{std::chrono::seconds{4}}; ///< After the begin of the faults.
 constexpr auto pause_between_restores = duration{std::chrono::milliseconds{500}}; ///< Once to eight times.
 constexpr auto longest_restart = duration{std::chrono::seconds{3}};
-constexpr auto kinds_before_restore = 4U; ///< The last of them is none, here and below.
+constexpr auto kinds_around_restore = 4U; ///< The last of them is none, here and below.
 constexpr auto kinds_beside_restore = 5U;
 constexpr auto rewrite_within = duration{std::chrono::seconds{1}}; ///< After a restore, by the platform.
 constexpr auto late_writes = 0.5;                                  ///< Share, at a restore.
@@ -213,46 +213,56 @@
 }
 
 /// The store is away for a moment and comes back from an older copy, which mostly lacks a change of owners or
-/// of the configuration. The controller may fail meanwhile.
+/// of the configuration; another one may follow. The controller may fail meanwhile.
 auto soak::restore_store() -> asio::awaitable<void> {
     const auto drawn = [this](double least, double most) {
         const auto length = std::uniform_real_distribution<double>{least, most}(m_restore_random);
         return std::chrono::duration_cast<duration>(std::chrono::duration<double>(length));
     };
     begin_fault();
-    const auto before = m_restore_random() % kinds_before_restore;
+    const auto before = m_restore_random() % kinds_around_restore;
+    const auto after = m_restore_random() % kinds_around_restore;
     const auto beside = m_restore_random() % kinds_beside_restore;
     auto& moved = *m_targets.all()[3 * (m_restore_random() % (m_targets.all().size() / 3))]; // Holds keys.
-    spawn(m_context, change_before_restore(before, moved));
+    spawn(m_context, change_around_restore(before, moved, before == 2 ? drain_bound : duration{}));
     co_await pause(drain_bound + drawn(0.5, 1.5));
-    const auto mode = m_restore_random() % 2 == 0 ? store_mode::refusing : store_mode::silent;
-    const auto away = drawn(0.2, 3);
-    const auto lost = drawn(1, 10);
     for (std::size_t index = 0; index < m_processes.size(); ++index) {
         disturb(index);
     }
-    tell("store away for " + milliseconds(away) + " after change " + std::to_string(before) +
-         ", beside fault " + std::to_string(beside));
-    m_store.faults() = {.mode = mode, .late_writes = late_writes};
     spawn(m_context, disturb_beside_restore(beside));
-    co_await pause(away);
-    m_store.restore(away + lost, rewrite_within);
-    m_store.faults() = {};
-    tell("store back without its last " + milliseconds(lost));
+    // At times it goes back again before the system has got over the first time.
+    const auto times = m_restore_random() % 4 == 0 ? 2 : 1;
+    for (auto count = 0; count < times; ++count) {
+        const auto mode = m_restore_random() % 2 == 0 ? store_mode::refusing : store_mode::silent;
+        const auto away = drawn(0.2, 3);
+        const auto lost = drawn(1, 10);
+        tell("store away for " + milliseconds(away) + " after change " + std::to_string(before) +
+             ", beside fault " + std::to_string(beside));
+        m_store.faults() = {.mode = mode, .late_writes = late_writes};
+        co_await pause(away);
+        m_store.restore(away + lost, rewrite_within);
+        m_store.faults() = {};
+        tell("store back without its last " + milliseconds(lost));
+        if (count + 1 < times) {
+            co_await pause(drawn(0.1, 1.5));
+        }
+    }
+    spawn(m_context, change_around_restore(after, moved, drawn(0.5, 4)));
     for (std::size_t index = 0; index < m_processes.size(); ++index) {
         settle(index);
     }
     --m_faults_now;
 }
 
-auto soak::change_before_restore(std::uint64_t kind, target& moved) -> asio::awaitable<void> {
+auto soak::change_around_restore(std::uint64_t kind, target& moved, duration delay) -> asio::awaitable<void> {
     begin_fault();
-    if (kind == 0) { // All instances know that it leaves when the store goes back.
+    co_await pause(delay);
+    if (kind == 0) { // It serves on for longer than the store is away.
         co_await drain_target(moved, 6, 8);
     } else if (kind == 1) {
         co_await crash_target(moved);
     } else if (kind == 2) {
-        co_await pause(drain_bound);
+        tell("change the configuration");
         write_config();
     }
     --m_faults_now;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -91,7 +91,8 @@
     auto drain_target(target& chosen, double least, double most) -> boost::asio::awaitable<void>;
     auto restores(instant until) -> boost::asio::awaitable<void>;
     auto restore_store() -> boost::asio::awaitable<void>;
-    auto change_before_restore(std::uint64_t kind, target& moved) -> boost::asio::awaitable<void>;
+    auto change_around_restore(std::uint64_t kind, target& moved, duration delay)
+        -> boost::asio::awaitable<void>;
     auto disturb_beside_restore(std::uint64_t kind) -> boost::asio::awaitable<void>;
     auto take_out() -> boost::asio::awaitable<void>;
     auto finish() -> boost::asio::awaitable<void>;
