--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -165,6 +165,7 @@
 }
 
 auto store::handle(responder& from, http_request request) -> asio::awaitable<bool> {
+    ++m_calls;
     const auto mode = m_faults.mode;
     const auto late_writes = m_faults.late_writes;
     while (m_faults.mode == store_mode::silent && mode == store_mode::silent) {
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -34,6 +34,8 @@
     /// Goes back to the state of @a age ago and starts the next era. What the platform itself wrote since is
     /// written again, each object after a delay of up to @a rewrite_within. Watches that wait get 410.
     auto restore(duration age, duration rewrite_within) -> void;
+    /// Calls that have arrived, answered or not.
+    auto calls() const -> std::uint64_t { return m_calls; }
     auto era() const -> std::uint64_t { return m_era; }
     auto port() const -> std::uint16_t { return m_server.port(); }
     /// The specification of the object with the key KIND/NAME; null if there is none.
@@ -74,6 +76,7 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_forgotten = 0; ///< The latest revision that the history lacks.
     std::uint64_t m_era = 1;
+    std::uint64_t m_calls = 0;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects; ///< By kind and name.
     /// Specifications as the platform last wrote them, by kind and name; null where it removed the object.
     std::map<std::string, std::map<std::string, nlohmann::json>> m_platform_objects;
