--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -37,16 +37,6 @@
 constexpr auto lapse = heartbeat * 3; ///< Silence after which a target's entry is removed.
 constexpr auto start_up = duration{std::chrono::seconds{8}};
 
-/// Runs @a work on its own. An exception is a fault of the soak itself, which must not go on without that
-/// part.
-auto spawn(asio::io_context& context, asio::awaitable<void> work) -> void {
-    asio::co_spawn(context, std::move(work), [](const std::exception_ptr& fault) {
-        if (fault) {
-            std::rethrow_exception(fault);
-        }
-    });
-}
-
 auto began() -> instant {
     static const auto at = monotonic_now();
     return at;
@@ -55,7 +45,7 @@
 } // namespace
 
 soak::soak(soak_options options)
-    : m_options{std::move(options)}, m_random{m_options.seed},
+    : m_options{std::move(options)}, m_random{m_options.seed}, m_restore_random{m_options.seed + 1},
       m_store{m_context, address(store_port), m_options.seed}, m_targets{m_context, m_store, m_seen,
                                                                          drain_bound, m_options.seed} {
     std::filesystem::create_directories(m_options.directory);
@@ -84,6 +74,7 @@
         write_settings(index);
     }
     m_seen.in_touch_from.resize(m_options.instances);
+    m_seen.lives.resize(m_options.instances);
     m_disturbances.resize(m_options.instances);
     m_callers = std::make_unique<callers>(m_context, m_fronts, m_seen, caller_options{}, m_options.seed);
 }
@@ -129,11 +120,11 @@
 }
 
 auto soak::write_config() -> void {
-    const auto rule = [](const char* name, const char* kind) {
-        return json{{"name", name},
+    const auto rule = [](const std::string& path, const char* service, const char* kind) {
+        return json{{"name", path.substr(1, path.size() - 2)},
                     {"kind", kind},
-                    {"match", {{"path-prefix", std::string{"/"} + name + "/"}}},
-                    {"action", {{"service", name}, {"timeout-s", 0.9}, {"max-attempts", 3}}},
+                    {"match", {{"path-prefix", path}}},
+                    {"action", {{"service", service}, {"timeout-s", 0.9}, {"max-attempts", 3}}},
                     {"target-latency-s", 0.4},
                     {"priority", 1}};
     };
@@ -147,17 +138,24 @@
                             {"sharded", std::string{name} == "keyed"}});
     }
     m_version += 1 + m_random() % 3;
-    m_store.put(
-        platform::kinds::routes, "main",
-        {{"version", m_version},
-         {"listeners",
-          {{{"host", "soak.example"},
-            {"rules", {rule("keyed", "safe"), rule("once", "non_idempotent"), rule("bulk", "download")}}}}},
-         {"clusters", clusters},
-         {"limits", {{"idle-timeout-s", 10 + m_version % 5}}}});
+    m_versions.push_back(m_version);
+    auto rules = json::array({rule("/keyed/", "keyed", "safe"), rule("/once/", "once", "non_idempotent"),
+                              rule("/bulk/", "bulk", "download")});
+    for (const auto version : m_versions) {
+        rules.push_back(rule(path_of_version(version), "bulk", "download"));
+    }
+    m_store.put(platform::kinds::routes, "main",
+                {{"version", m_version},
+                 {"listeners", json::array({{{"host", "soak.example"}, {"rules", std::move(rules)}}})},
+                 {"clusters", clusters},
+                 {"limits", {{"idle-timeout-s", 10 + m_version % 5}}}});
+    m_seen.config_version = m_version;
+    m_seen.config_written_at = monotonic_now();
 }
 
-auto soak::launch(process& started) -> void {
+auto soak::launch(std::size_t instance) -> void {
+    auto& started = m_processes[instance];
+    ++m_seen.lives[instance];
     auto actions = posix_spawn_file_actions_t{};
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, started.log_file.c_str(),
@@ -223,6 +221,7 @@
     tell("faults begin");
     const auto until = monotonic_now() +
                        std::chrono::duration_cast<duration>(std::chrono::duration<double>(m_options.seconds));
+    spawn(m_context, restores(until));
     while (monotonic_now() < until) {
         spawn(m_context, series(static_cast<int>(m_random() % kinds)));
         co_await pause(seconds(0.4, 3));
@@ -238,9 +237,9 @@
     tell("faults are over");
     m_playing = true;
     spawn(m_context, heartbeats());
-    for (auto& each : m_processes) {
-        if (each.pid == 0) {
-            launch(each);
+    for (std::size_t index = 0; index < m_processes.size(); ++index) {
+        if (m_processes[index].pid == 0) {
+            launch(index);
         }
     }
     co_await pause(recovery_bound);
@@ -266,9 +265,9 @@
         m_target_links[index]->start();
         m_targets.all()[index]->start();
     }
-    for (auto& each : m_processes) {
-        each.store_link->start();
-        launch(each);
+    for (std::size_t index = 0; index < m_processes.size(); ++index) {
+        m_processes[index].store_link->start();
+        launch(index);
     }
     write_config();
     m_signals.async_wait([this](const boost::system::error_code& error, int) {
@@ -285,10 +284,18 @@
     for (const auto& [name, count] : m_seen.counts) {
         std::cout << " " << name << ": " << count << ";";
     }
-    std::cout << "\n";
+    std::cout << " store calls: " << m_store.calls() << "; eras: " << m_store.era() << "\n";
     return m_seen.broken == 0 ? 0 : 1;
 }
 
+auto spawn(asio::io_context& context, asio::awaitable<void> work) -> void {
+    asio::co_spawn(context, std::move(work), [](const std::exception_ptr& fault) {
+        if (fault) {
+            std::rethrow_exception(fault);
+        }
+    });
+}
+
 auto is_in_touch(const journal& seen, const std::string& request, instant now) -> bool {
     const auto taken = seen.taken_by.find(request);
     return taken != seen.taken_by.end() && now >= seen.in_touch_from[taken->second];
