Remove what a comparison shows to be absent after an earlier removal

A copy could count as complete although it held an object that the store had removed.

Cause: a comparison reports the removal that the other copy knows, with its revision. If this copy got a later version while the comparison was under way, the removal was older than that and did nothing, but its key counted as dealt with. The copy was then complete up to the other copy's revision.

Change: a removal up to the revision for which the other copy is complete says that the object is absent at that revision too, so a version up to it is removed.

--- a/src/libteaselcross/replication/object_replica.cpp
+++ b/src/libteaselcross/replication/object_replica.cpp
@@ -218,7 +218,10 @@
         absent.erase(key);
     }
     for (const auto& object : answer.differing) {
-        absent.erase(object.key);
+        // A removal up to the complete revision says that the object is absent at that revision as well.
+        if (!object.removed || object.version > answer.complete_to) {
+            absent.erase(object.key);
+        }
     }
     auto objects = answer.differing;
     for (const auto& [key, version] : absent) {
--- a/tests/replication/object_replica_test.cpp
+++ b/tests/replication/object_replica_test.cpp
@@ -145,6 +145,22 @@
     EXPECT_TRUE(objects.at(0).removed);
 }
 
+// The same where the other copy has a record of an earlier removal.
+TEST(object_replica, a_comparison_removes_what_was_added_after_a_removal_that_the_other_copy_knows) {
+    auto other = object_replica{};
+    merge_list(other, list_at(10, {live("a", 3)}));
+    merge_list(other, list_at(15, {}));
+    merge_list(other, list_at(30, {}));
+    auto replica = object_replica{};
+    merge_list(replica, list_at(10, {live("a", 3)}));
+    const auto answer = compare_replicas(other, live_versions(replica));
+    merge_list(replica, list_at(20, {live("a", 18)}));
+    for (const auto& object : objects_to_merge(replica, answer)) {
+        merge_object(replica, object);
+    }
+    EXPECT_FALSE(knows(replica, "a"));
+}
+
 // Guards against a follower that counts as complete although it holds a removed object: its relay never knew
 // the object, which was created and removed between two lists of the relay.
 TEST(object_replica, changes_of_a_relay_that_missed_an_object_leave_another_digest) {
