Follow a store that comes back from an older copy

What callers saw: after a restore a confirmed change was not in force for as long as the revisions were below those of before, and each relay sent a watch and a list about 50 times a second, without a pause.

Cause: answers of two eras were taken as one history. A list of the new era was refused as older than the copy, and a watch could continue from a number that the restored store gave out again. After a lost history there was no pause, whatever the list brought.

Change: a list does not mix pages of two eras. A watch that another era answers counts as lost history. Answers of stores, relays and peers of an earlier era change nothing and confirm nothing; a relay of an earlier era is asked for its complete list later. When a list after a lost history brings no newer revision to watch, the next watch waits, at first 120 ms, at most 1 s. The exploration of copies has a step in which the store goes back, and checks values as well.

--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -17,6 +17,8 @@
 /// keep-alive.
 constexpr auto watch_timeout = duration{std::chrono::milliseconds{9000}};
 constexpr auto retry_delay = duration{std::chrono::milliseconds{120}};
+/// Limit of the delay between watches when lists bring no revision that can be watched.
+constexpr auto max_retry_delay = duration{std::chrono::milliseconds{1000}};
 /// How long a relay holds a request when there are no changes, and the allowance for the round trip.
 constexpr auto relay_poll_timeout = duration{std::chrono::milliseconds{4000}};
 constexpr auto relay_round_trip_timeout = duration{std::chrono::milliseconds{800}};
@@ -61,14 +63,15 @@
                                                               (std::uint64_t{std::random_device{}()} << 32U) |
                                                               1U} {}
 
-/// Reads all pages of the list. Returns none when the store could not be read.
+/// Reads all pages of the list. Returns none when the store could not be read, or began a new era meanwhile.
 auto store_follower::list_all() -> boost::asio::awaitable<std::vector<object_page>> {
     auto pages = std::vector<object_page>{};
     while (true) {
         const auto after = pages.empty() ? std::string{} : pages.back().last_key;
         auto call = store_call{.kind = store_call_kind::list, .key = m_options.kind, .after_key = after};
         auto reply = co_await m_store.read(std::move(call));
-        if (reply.status != store_status::ok) {
+        const auto is_other_era = !pages.empty() && reply.era != pages.front().revision.era;
+        if (reply.status != store_status::ok || is_other_era) {
             co_return std::vector<object_page>{};
         }
         const auto has_more = reply.more && !reply.objects.empty();
@@ -165,7 +168,15 @@
     finish_answer(origin);
 }
 
+/// Whether a copy that is complete up to @a revision belongs to an era that has ended.
+auto store_follower::is_of_past_era(const store_revision& revision) const -> bool {
+    return revision.era < m_replica.newest_heard.era;
+}
+
 auto store_follower::confirm(const copy_state& equal, instant asked_at) -> void {
+    if (is_of_past_era(equal.complete_to)) {
+        return; // Copies without objects are equal in all eras.
+    }
     set_complete_to(m_replica, equal.complete_to);
     set_confirmed(time_of(asked_at, {}, equal.age));
 }
@@ -183,7 +194,7 @@
     const auto newest_before = m_replica.newest_heard;
     const auto pages = co_await list_all();
     m_refreshing = false;
-    if (pages.empty()) {
+    if (pages.empty() || is_of_past_era(pages.front().revision)) {
         co_return false;
     }
     const auto revision = pages.front().revision;
@@ -197,17 +208,21 @@
     co_return true;
 }
 
-/// Watches until the store no longer has the history, or another instance becomes the relay.
-auto store_follower::watch() -> boost::asio::awaitable<void> {
+/// Watches until the store no longer has the history, or another instance becomes the relay. Returns the
+/// revision that could not be watched any more, if any.
+auto store_follower::watch() -> boost::asio::awaitable<std::optional<store_revision>> {
     while (true) {
         const auto from = m_watched_from;
         const auto sent = monotonic_now();
         auto call = store_call{
             .kind = store_call_kind::watch, .key = m_options.kind, .after = from, .wait = watch_timeout};
         const auto reply = co_await m_store.read(std::move(call));
-        if (reply.status == store_status::history_lost) {
-            log::info("store_history_lost", {{"kind", m_options.kind}, {"after", to_string(from)}});
-            co_return;
+        // After a restore the same number may be known, but it names another change.
+        const auto is_other_era = reply.status == store_status::ok && reply.era != from.era;
+        if (reply.status == store_status::history_lost || is_other_era) {
+            log::info("store_history_lost",
+                      {{"kind", m_options.kind}, {"after", to_string(from)}, {"era", reply.era}});
+            co_return from;
         }
         if (reply.status != store_status::ok) {
             co_await sleep_for(retry_delay);
@@ -226,44 +241,10 @@
             co_await sleep_for(m_options.batch_delay);
         }
         if (relay() || is_writer()) {
-            co_return; // Another instance has become the relay, or nothing is written elsewhere any more.
-        }
-    }
-}
-
-auto store_follower::is_avoided(const std::string& instance) const -> bool {
-    const auto avoided = m_avoided_relays.find(instance);
-    return avoided != m_avoided_relays.end() && monotonic_now() < avoided->second;
-}
-
-/// The highest ranked instance of this data centre that is not avoided; null if none is known.
-auto store_follower::preferred_instance() const -> const instance_record* {
-    const auto ranking = instance_ranking{"relay"};
-    const instance_record* best = nullptr;
-    for (const auto& each : m_cluster.instances()) {
-        if (each.data_centre == m_settings.data_centre && (best == nullptr || ranking(each, *best)) &&
-            !is_avoided(each.name)) {
-            best = &each;
+            co_return std::nullopt; // Another instance has become the relay, or nothing is written elsewhere
+                                    // any more.
         }
     }
-    return best;
-}
-
-/// The instance to follow: the preferred one of this data centre, or if that is this instance, the writer of
-/// the objects. Returns nothing when the store is to be followed directly.
-auto store_follower::relay() const -> std::optional<instance_record> {
-    const auto* preferred = preferred_instance();
-    if (preferred != nullptr && preferred->name != m_settings.instance) {
-        return *preferred;
-    }
-    const auto writer = m_options.writer ? m_options.writer() : std::nullopt;
-    const auto follows_writer = writer && writer->name != m_settings.instance && !is_avoided(writer->name);
-    return follows_writer ? writer : std::nullopt;
-}
-
-auto store_follower::relay_address() const -> std::optional<endpoint> {
-    const auto found = relay();
-    return found ? std::optional{found->internal} : std::nullopt;
 }
 
 auto store_follower::follow_relay(instance_record followed) -> boost::asio::awaitable<void> {
@@ -291,6 +272,11 @@
             m_avoided_relays[followed.name] = monotonic_now() + relay_avoid_time;
             co_return;
         }
+        if (is_of_past_era(answer->complete_to)) {
+            query = {};
+            co_await sleep_for(retry_delay);
+            continue;
+        }
         query = {.epoch = answer->epoch, .number = answer->number};
         m_store.note_relayed_outage(answer->outage_grace);
         if (!apply_relayed(*answer, {.source = change_source::relay,
@@ -454,7 +440,7 @@
     const auto response = co_await perform_exchange(m_pool, std::move(peer), std::move(request),
                                                     compare_timeout, max_relayed_bytes);
     const auto answer = response ? decode_compare_answer(response->body()) : std::nullopt;
-    if (!answer) {
+    if (!answer || is_of_past_era(answer->comparison.complete_to)) {
         co_return false;
     }
     origin.revision = answer->comparison.complete_to;
@@ -468,6 +454,8 @@
 }
 
 auto store_follower::run() -> boost::asio::awaitable<void> {
+    auto lost_after = std::optional<store_revision>{};
+    auto pause = retry_delay;
     while (true) {
         const auto from = relay();
         const auto writes = is_writer();
@@ -488,8 +476,15 @@
             co_await sleep_for(retry_delay);
             continue;
         }
+        if (lost_after && m_watched_from <= *lost_after) {
+            co_await sleep_for(pause);
+            pause = std::min(2 * pause, max_retry_delay);
+        } else {
+            pause = retry_delay;
+        }
+        lost_after.reset();
         if (!writes) {
-            co_await watch();
+            lost_after = co_await watch();
         }
     }
 }
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -122,7 +122,8 @@
     auto differences_since(const object_replica::entry& entry, std::uint64_t known)
         -> std::vector<const object_difference*>;
     auto apply_relayed(const follow_answer& answer, change_origin origin) -> bool;
-    auto watch() -> boost::asio::awaitable<void>;
+    auto watch() -> boost::asio::awaitable<std::optional<store_revision>>;
+    auto is_of_past_era(const store_revision& revision) const -> bool;
     auto follow_relay(instance_record followed) -> boost::asio::awaitable<void>;
     auto relay() const -> std::optional<instance_record>;
     auto preferred_instance() const -> const instance_record*;
--- a/tests/gateway/store_follower_test.cpp
+++ b/tests/gateway/store_follower_test.cpp
@@ -1,6 +1,8 @@
 // Tests the order in which a follower accepts answers of relays, peers and the store.
 
 #include "gateway/cluster_state_feed.h"
+#include "http/server.h"
+#include "platform/names.h"
 #include "platform/store.h"
 #include "support/loopback_peer.h"
 
@@ -122,5 +124,123 @@
     EXPECT_TRUE(knows_entry || answer.at("at").template get<int>() < entry_revision) << answer;
 }
 
+/// A store that answers lists and watches of one kind, with its era.
+struct scripted_store {
+    std::uint64_t era = 1;
+    std::uint64_t revision = 155;
+    json items = json::array();
+    bool has_history = true; ///< False: all watches are answered as too old.
+    int lists = 0;
+    int watches = 0;
+
+    auto answer(const http_request& request) -> http_response {
+        auto reply = http_response{boost::beast::http::status::ok, 11};
+        reply.set(platform::names::store_era_header, std::to_string(era));
+        if (std::string{request.target()}.find("watch=") == std::string::npos) {
+            ++lists;
+            reply.body() = json{{"at", revision}, {"items", items}}.dump();
+        } else {
+            ++watches;
+            reply.result(has_history ? boost::beast::http::status::ok : boost::beast::http::status::gone);
+            reply.body() = json{{"at", revision}, {"events", json::array()}}.dump();
+        }
+        reply.prepare_payload();
+        return reply;
+    }
+};
+
+auto routes_item(std::uint64_t revision, int version) -> json {
+    return {{"metadata", {{"name", "main"}, {"revision", revision}}}, {"spec", {{"version", version}}}};
+}
+
+/// A follower of the configuration that reads the store itself.
+class direct_follower : public testing::Test {
+protected:
+    direct_follower() {
+        m_server.start();
+        m_settings.instance = "own";
+        m_settings.store = {.host = "127.0.0.1", .port = m_server.port()};
+        m_script.items = json::array({routes_item(145, 9)});
+        boost::asio::co_spawn(m_context, m_follower.run(), boost::asio::detached);
+    }
+
+    template <class Condition>
+    auto run_until(Condition condition, duration limit = std::chrono::seconds{5}) -> bool {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            m_context.run_one_for(std::chrono::milliseconds{20});
+        }
+        return condition();
+    }
+
+    boost::asio::io_context m_context{1};
+    scripted_store m_script;
+    http_server m_server{m_context.get_executor(),
+                         {.host = "127.0.0.1"},
+                         [this](responder& link, http_request request) -> boost::asio::awaitable<bool> {
+                             co_return co_await write_answer(link, m_script.answer(request));
+                         }};
+    gateway_settings m_settings;
+    cluster_state m_cluster{m_settings, m_context.get_executor()};
+    store_access m_store{m_settings, m_cluster, m_context.get_executor(), platform::platform_dialect};
+    std::vector<store_object> m_changes;
+    store_follower m_follower{
+        m_store,
+        m_cluster,
+        m_settings,
+        m_context.get_executor(),
+        {.kind = "config", .batch_delay = duration{}},
+        {.changed = [this](const store_object& object, instant) { m_changes.push_back(object); }}};
+};
+
+// Guards against a confirmed change that is never in force: after a restore its revision was lower than that
+// of the version before, and lists were refused until the numbers had caught up.
+TEST_F(direct_follower, a_change_after_a_restore_is_applied_although_its_revision_is_lower) {
+    m_script.has_history = false;
+    ASSERT_TRUE(run_until([&] { return m_changes.size() == 1; }));
+    m_script.era = 2;
+    m_script.revision = 131;
+    m_script.items = json::array({routes_item(131, 11)});
+    ASSERT_TRUE(run_until([&] { return m_changes.size() == 2; }));
+    EXPECT_EQ(m_changes.back().version, (store_revision{.era = 2, .number = 131}));
+    ASSERT_TRUE(run_until([&] { return m_follower.state().complete_to.era == 2; }));
+    EXPECT_EQ(m_follower.state().complete_to.number, 131U);
+}
+
+// Guards against a watch that continues in another history: the restored store knows the number already.
+TEST_F(direct_follower, a_watch_that_another_era_answers_is_no_continuation) {
+    ASSERT_TRUE(run_until([&] { return m_script.lists == 1 && m_script.watches >= 1; }));
+    m_script.era = 2;
+    m_script.items = json::array({routes_item(140, 11)});
+    ASSERT_TRUE(run_until([&] { return m_changes.size() == 2; }));
+    EXPECT_EQ(m_script.lists, 2);
+}
+
+// Guards against thousands of calls in a second: a watch whose history was lost and a list that was refused
+// followed each other without a pause.
+TEST_F(direct_follower, lists_that_bring_no_revision_to_watch_are_paced) {
+    m_script.has_history = false;
+    static_cast<void>(run_until([] { return false; }, std::chrono::seconds{2}));
+    EXPECT_GE(m_script.lists, 3);
+    EXPECT_LE(m_script.lists, 8);
+}
+
+// Guards against an answer of a store from before a restore that undoes a change or vouches for the copy.
+TEST_F(direct_follower, an_answer_of_an_earlier_era_changes_and_confirms_nothing) {
+    m_script.has_history = false;
+    m_script.era = 2;
+    ASSERT_TRUE(run_until([&] { return m_changes.size() == 1; }));
+    m_script.era = 1;
+    m_script.revision = 300;
+    m_script.items = json::array({routes_item(300, 8)});
+    const auto lists = m_script.lists;
+    ASSERT_TRUE(run_until([&] { return m_script.lists > lists + 1; }));
+    const auto age = m_follower.state().age;
+    ASSERT_TRUE(run_until([&] { return m_script.lists > lists + 3; }));
+    EXPECT_EQ(m_changes.size(), 1U);
+    EXPECT_GT(m_follower.state().age, age);
+    EXPECT_EQ(m_follower.state().complete_to.era, 2U);
+}
+
 } // namespace
 } // namespace teaselcross
--- a/tests/replication/object_replica_test.cpp
+++ b/tests/replication/object_replica_test.cpp
@@ -28,6 +28,70 @@
     return live_versions(replica).contains(key);
 }
 
+/// A revision of the store after it was restored once; more often if @a restores says so.
+auto restored_at(std::uint64_t number, std::uint64_t restores = 1) -> store_revision {
+    return {.era = 1 + restores, .number = number};
+}
+
+auto restored(std::string key, std::uint64_t number, std::string value = "{}", std::uint64_t restores = 1)
+    -> store_object {
+    return {.key = std::move(key), .version = restored_at(number, restores), .value = std::move(value)};
+}
+
+/// A copy of a store in its first era.
+auto copy_before_restore() -> object_replica {
+    auto replica = object_replica{};
+    merge_list(replica, {{.revision = {.era = 1, .number = 155},
+                          .objects = {{.key = "a", .version = {.era = 1, .number = 140}, .value = "old"},
+                                      {.key = "b", .version = {.era = 1, .number = 150}, .value = "old"}}}});
+    return replica;
+}
+
+// Guards against a confirmed change that is never in force: a store that was restored from an older copy has
+// lower revisions, and its lists were refused as older than the copy.
+TEST(object_replica, a_list_after_a_restore_replaces_the_copy) {
+    auto replica = copy_before_restore();
+    merge_list(replica, {{.revision = restored_at(112), .objects = {restored("a", 100, "new")}}});
+    EXPECT_EQ(replica.entries.at("a").object.value, "new");
+    EXPECT_FALSE(knows(replica, "b"));
+    EXPECT_EQ(replica.complete_to, restored_at(112));
+    EXPECT_EQ(merge_object(replica, restored("b", 131)), merge_result::applied);
+}
+
+// Guards against a change that is undone by an answer from before a restore.
+TEST(object_replica, an_answer_of_an_earlier_era_changes_nothing) {
+    auto replica = copy_before_restore();
+    merge_list(replica, {{.revision = restored_at(112), .objects = {restored("a", 100, "new")}}});
+    const auto before = replica.digest;
+    EXPECT_TRUE(merge_list(replica, {{.revision = {.era = 1, .number = 170},
+                                      .objects = {{.key = "b", .version = {.era = 1, .number = 160}}}}})
+                    .empty());
+    EXPECT_NE(merge_object(replica, {.key = "a", .version = {.era = 1, .number = 165}, .removed = true}),
+              merge_result::applied);
+    EXPECT_EQ(replica.digest, before);
+    EXPECT_EQ(replica.complete_to, restored_at(112));
+}
+
+// Guards against two copies that count as equal with other content: a restored store gives out the numbers of
+// the lost changes again.
+TEST(object_replica, a_number_that_is_given_out_again_is_another_version) {
+    auto replica = copy_before_restore();
+    const auto before = replica;
+    merge_list(replica, {{.revision = restored_at(155),
+                          .objects = {restored("a", 140, "new"), restored("b", 150, "new")}}});
+    EXPECT_NE(replica.digest, before.digest);
+    EXPECT_GT(replica.change_number, before.change_number);
+    EXPECT_EQ(replica.entries.at("b").object.value, "new");
+}
+
+TEST(object_replica, two_restores_in_series_leave_the_last_state) {
+    auto replica = copy_before_restore();
+    merge_list(replica, {{.revision = restored_at(112, 2), .objects = {restored("a", 90, "last", 2)}}});
+    merge_list(replica, {{.revision = restored_at(130), .objects = {restored("a", 129, "between")}}});
+    EXPECT_EQ(replica.entries.at("a").object.value, "last");
+    EXPECT_EQ(replica.complete_to, restored_at(112, 2));
+}
+
 TEST(object_replica, a_list_removes_what_it_lacks_up_to_its_revision) {
     auto replica = object_replica{};
     merge_list(replica, list_at(10, {live("a", 3), live("b", 10)}));
--- a/tests/replication/replica_exploration_test.cpp
+++ b/tests/replication/replica_exploration_test.cpp
@@ -15,16 +15,17 @@
 struct kind_profile {
     const char* name;
     unsigned keys;
-    bool is_removed; ///< Objects are removed and created again.
-    bool is_patched; ///< Relays send differences, which apply to one version only.
+    bool is_removed = false; ///< Objects are removed and created again.
+    bool is_patched = false; ///< Relays send differences, which apply to one version only.
     unsigned removals_kept;
+    bool is_written_again = false; ///< The operator writes again what a restore lost.
 };
 constexpr auto kinds = std::array{
-    kind_profile{.name = "targets", .keys = 6, .is_removed = true, .is_patched = false, .removals_kept = 2},
-    kind_profile{.name = "routes", .keys = 1, .is_removed = false, .is_patched = false, .removals_kept = 2},
+    kind_profile{.name = "targets", .keys = 6, .is_removed = true, .removals_kept = 2},
+    kind_profile{.name = "routes", .keys = 1, .removals_kept = 2, .is_written_again = true},
     kind_profile{
-        .name = "evacuations", .keys = 2, .is_removed = true, .is_patched = false, .removals_kept = 1},
-    kind_profile{.name = "key maps", .keys = 2, .is_removed = false, .is_patched = true, .removals_kept = 2}};
+        .name = "evacuations", .keys = 2, .is_removed = true, .removals_kept = 1, .is_written_again = true},
+    kind_profile{.name = "key maps", .keys = 2, .is_patched = true, .removals_kept = 2}};
 
 /// The store: every change of each era with its revision.
 class store_history {
@@ -39,6 +40,36 @@
         write(key, removes, key + "#" + std::to_string(++m_writes));
     }
 
+    /// Restores a recent state in a new era, in which revisions continue from that state's. What the operator
+    /// changed since is written again.
+    auto go_back(std::mt19937_64& random) -> void {
+        constexpr auto max_lost = 20;
+        const auto before = m_revision;
+        m_ends[before.era] = before.number;
+        m_revision = {.era = before.era + 1,
+                      .number =
+                          before.number - std::min<std::uint64_t>(before.number - 1, random() % max_lost)};
+        auto& restored = m_changes[m_revision.era];
+        for (const auto& [key, list] : m_changes.at(before.era)) {
+            for (auto change : list) {
+                if (change.version.number <= m_revision.number) {
+                    change.version.era = m_revision.era;
+                    restored[key].push_back(std::move(change));
+                }
+            }
+        }
+        for (const auto& key : keys()) {
+            const auto lost = object_at(key, before);
+            const auto kept = object_at(key, m_revision);
+            const auto is_equal =
+                lost.has_value() == kept.has_value() && (!lost || lost->value == kept->value);
+            if (m_kind.is_written_again && !is_equal) {
+                ++m_revision.number;
+                write(key, !lost, lost ? lost->value : std::string{});
+            }
+        }
+    }
+
     auto revision() const -> store_revision { return m_revision; }
 
     /// The last revision of @a era.
@@ -140,6 +171,7 @@
     type kind = type::list;
     std::size_t to = 0;
     std::size_t relay = 0;
+    store_revision from; ///< Of a watch.
     bool is_whole = false;
     store_revision revision;
     std::uint64_t number = 0; ///< Change number of the relay.
@@ -171,6 +203,11 @@
 
     /// Performs one random step. Returns what is wrong afterwards; empty if nothing is.
     auto step() -> std::string {
+        constexpr auto steps_per_restore = 30;
+        if (m_random() % steps_per_restore == 0) {
+            m_store.go_back(m_random);
+            return {};
+        }
         switch (m_random() % 8) {
         case 0:
         case 1:
@@ -210,6 +247,11 @@
             if (live_versions(m_instances.at(to).replica) != expected) {
                 return "a copy differs from the store after a list of the present";
             }
+            for (const auto& object : objects) {
+                if (m_instances.at(to).replica.entries.at(object.key).object.value != object.value) {
+                    return "a copy has another value than the store: " + object.key;
+                }
+            }
         }
         return {};
     }
@@ -251,6 +293,7 @@
         }
         m_answers.push_back({.kind = answer::type::watch,
                              .to = to,
+                             .from = from,
                              .revision = m_store.revision(),
                              .objects = m_store.events_after(from.number)});
     }
@@ -313,6 +356,10 @@
 
     auto apply(answer received) -> std::string {
         auto& target = m_instances.at(received.to);
+        if (received.kind == answer::type::watch && received.revision.era != received.from.era) {
+            target.watched_from = {}; // No continuation of what was watched.
+            return {};
+        }
         if (received.kind == answer::type::comparison) {
             received.objects = objects_to_merge(target.replica, received.compared);
         }
