--- a/tests/gateway/graceful_stop_test.cpp
+++ b/tests/gateway/graceful_stop_test.cpp
@@ -49,7 +49,7 @@
                               .port = target.port(),
                               .slots = 4,
                               .start_time_ms = 1},
-                             1, monotonic_now());
+                             {.number = 1}, monotonic_now());
     }
 
     static auto request(const std::string& rule, const std::string& id, milliseconds time_left)
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -88,12 +88,12 @@
                                             ", " + item("c", 3, usable) + R"(],"has-more":false,"at":9})");
         ASSERT_EQ(list.status, store_status::ok) << shown;
         ASSERT_EQ(list.objects.size(), 3U) << shown;
-        EXPECT_EQ(list.version, 9U);
+        EXPECT_EQ(list.version.number, 9U);
         EXPECT_FALSE(list.more);
         EXPECT_TRUE(is_usable(list.objects[0]) && is_usable(list.objects[2])) << shown;
         // Its key and version are part of the digests by which instances compare their copies.
         EXPECT_EQ(list.objects[1].key, "servers/b");
-        EXPECT_EQ(list.objects[1].version, 2U);
+        EXPECT_EQ(list.objects[1].version.number, 2U);
         EXPECT_FALSE(is_usable(list.objects[1])) << shown;
         EXPECT_TRUE(json::accept(list.objects[1].value)) << shown;
 
@@ -108,7 +108,7 @@
 
         const auto one = read(store_call_kind::get, item("b", 2, odd));
         EXPECT_EQ(one.status, store_status::ok) << shown;
-        EXPECT_EQ(one.version, 2U) << shown;
+        EXPECT_EQ(one.version.number, 2U) << shown;
     }
 }
 
@@ -128,11 +128,11 @@
     for (const auto* revision : {"-2", "2.5", "1e999", "\"2\"", "null", "[2]"}) {
         const auto reply = with_metadata(R"({"name":"b","revision":)"s + revision + "}");
         ASSERT_EQ(reply.objects.size(), 2U) << revision;
-        EXPECT_EQ(reply.objects[0].version, 0U) << revision;
+        EXPECT_EQ(reply.objects[0].version.number, 0U) << revision;
     }
     const auto reply = with_metadata(R"({"finalizers":)" + nested("[", "]") + R"(,"name":"b","revision":2})");
     ASSERT_EQ(reply.objects.size(), 2U);
-    EXPECT_EQ(reply.objects[0].version, 2U);
+    EXPECT_EQ(reply.objects[0].version.number, 2U);
 }
 
 TEST(odd_entries, an_answer_that_is_no_list_is_not_taken_for_an_empty_one) {
@@ -172,7 +172,8 @@
     const auto is_read = [&](const char* field, const json& value) {
         auto changed = record;
         changed[field] = value;
-        return parse_instance_record({.key = "k/i", .version = 1, .value = changed.dump()}).has_value();
+        return parse_instance_record({.key = "k/i", .version = {.number = 1}, .value = changed.dump()})
+            .has_value();
     };
     EXPECT_TRUE(is_read("port", 7540));
     for (const auto& port : {json(70000), json(-1), json(1e300), json(7540.5), json(~0ULL)}) {
@@ -180,7 +181,7 @@
     }
     EXPECT_FALSE(is_read("birth", 1e300));
     EXPECT_FALSE(is_read("birth", -1));
-    EXPECT_FALSE(parse_instance_record({.key = "k/i", .version = 1, .value = nested("[", "]")}));
+    EXPECT_FALSE(parse_instance_record({.key = "k/i", .version = {.number = 1}, .value = nested("[", "]")}));
 }
 
 TEST(odd_entries, a_configuration_with_a_number_out_of_range_is_rejected) {
