Let the writer of key maps read the store once after a restore

Callers' view: none measured; found by a reader of the fix. Requests for moved keys would go to their old holders.

Cause: the writer of the key maps does not follow the store while it writes, so its copy stayed in the era of before a restore, and followers that had heard of the new one refused all its answers.

Change: a writer whose copy is of an earlier era than the store lists once.

Measured: the test fails without the change and passes with it.

--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -463,7 +463,8 @@
         const auto is_preferred = preferred == nullptr || preferred->name == m_settings.instance;
         m_direct = !from || writes || is_preferred;
         m_replica.max_past_values = m_direct && m_options.difference != nullptr ? max_past_values : 0;
-        if (writes && m_listed) {
+        const auto is_present_era = m_replica.complete_to.era >= m_store.era();
+        if (writes && m_listed && is_present_era) {
             co_await sleep_for(writer_check_interval);
             continue;
         }
--- a/tests/gateway/store_follower_test.cpp
+++ b/tests/gateway/store_follower_test.cpp
@@ -255,12 +255,16 @@
     cluster_state m_cluster{m_settings, m_context.get_executor()};
     store_access m_store{m_settings, m_cluster, m_context.get_executor(), platform::platform_dialect};
     std::vector<store_object> m_changes;
+    bool m_writes = false; ///< Whether this instance writes the objects.
     store_follower m_follower{
         m_store,
         m_cluster,
         m_settings,
         m_context.get_executor(),
-        {.kind = "config", .batch_delay = duration{}},
+        {.kind = "config",
+         .batch_delay = duration{},
+         .writer =
+             [this] { return m_writes ? std::optional{instance_record{.name = "own"}} : std::nullopt; }},
         {.changed = [this](const store_object& object, instant) { m_changes.push_back(object); }}};
 };
 
@@ -318,5 +322,18 @@
     EXPECT_EQ(m_follower.state().complete_to.era, 2U);
 }
 
+// Guards against a writer whose copy stays in the era of before a restore, so that nobody can follow it.
+TEST_F(direct_follower, a_writer_reads_the_store_once_after_a_restore) {
+    ASSERT_TRUE(run_until([&] { return m_follower.listed(); }));
+    m_writes = true;
+    m_script.era = 2;
+    m_script.revision = 131;
+    auto get = store_call{.kind = store_call_kind::list, .key = "other"};
+    boost::asio::co_spawn(m_context, m_store.read(std::move(get)), boost::asio::detached);
+    ASSERT_TRUE(run_until([&] { return m_follower.state().complete_to.era == 2; }));
+    const auto lists = m_script.lists;
+    EXPECT_FALSE(run_until([&] { return m_script.lists > lists; }, std::chrono::seconds{1}));
+}
+
 } // namespace
 } // namespace teaselcross
