Count on other controllers after a restore until they must have stopped

Each case needs a partition or a kill beside the restore.

Cause: a controller that reclaimed the lease by reports alone went on moving keys, although another one may have held the lease that was lost and may still renew grants. A successor in the same era inherited the record but not the doubt. A new process reported to the holder that a lost lease names. A map that had been loaded but never written was written again as if it were the record. An empty record after a restore counted as a first start, and a late write of an earlier era as another writer's.

Change: a controller that reclaims without holding the lease by time announces itself and moves nothing before a majority has acknowledged that and all other grants have expired; so does one that finds a record of an earlier era or an uncertain one. A lost lease names no holder. Only a map that this controller has written is written again. An empty record counts as a first start only without predecessor, and a conflict with a record of an earlier era is no other writer's. Instances that were asked to stop answer "clean" only if all maps are recorded in the present era.

The interleavings themselves have no test.

--- a/src/libteaselcross/ownership/lease.cpp
+++ b/src/libteaselcross/ownership/lease.cpp
@@ -13,7 +13,9 @@
 
 auto can_acquire(const lease_candidate& state, bool eager, bool holder_gone, instant now) -> bool {
     const auto released = state.last_known && state.last_known->holder.empty() && !state.is_lost;
-    const auto free = holder_gone || !state.last_known || released || state.last_known->holder == state.self;
+    const auto unused = !state.last_known && !state.is_lost;
+    const auto own = state.last_known && state.last_known->holder == state.self;
+    const auto free = holder_gone || unused || released || own;
     const auto expired_at =
         free ? state.unchanged_since : state.unchanged_since + takeover_wait(state.options);
     return now >= (eager ? expired_at : expired_at + state.options.term);
@@ -62,10 +64,7 @@
     state.is_lost = is_lost;
     state.last_known_version = version;
     if (is_lost) {
-        if (object && (!state.last_known || is_earlier(*state.last_known, *object))) {
-            state.last_known = object;
-        }
-        return;
+        return; // Its holder may have been followed by others.
     }
     state.last_known = object;
     if (!object || object->holder != state.self) {
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -123,11 +123,16 @@
     /// its present era, so other controllers may have followed @a before.
     auto begin_term(std::optional<lease_object> before, bool is_lost) -> boost::asio::awaitable<void>;
     auto retry_resignation_request(instance_id holder, std::uint64_t term) -> boost::asio::awaitable<void>;
-    auto announce_to(instance_record peer, std::uint64_t term) -> boost::asio::awaitable<void>;
+    auto announce_to_all() -> void;
+    auto announce_to(instance_record peer, std::uint64_t term, std::uint64_t era)
+        -> boost::asio::awaitable<void>;
     auto has_majority_reports(instant now) const -> bool;
     auto is_majority(std::size_t count) const -> bool;
     auto request_resignation(instance_id holder) -> boost::asio::awaitable<resignation>;
     auto set_earliest_move(instant from) -> void;
+    /// Lets no key move before any other controller has lost the right to send orders and its grants have
+    /// expired.
+    auto await_unknown_controllers(instant now) -> void;
     auto is_grant_state_certain(instant now) const -> bool;
     auto end_term(const char* reason) -> void;
     auto take_over_keys(const service_id& service, service_control& state, key_map recorded) -> void;
@@ -170,6 +175,8 @@
     instant m_last_renewal{};                      ///< Start of the last successful write of the lease.
     std::map<std::string, instant> m_last_reports; ///< When each instance last sent a report to this one.
     std::set<std::string> m_acknowledged_by; ///< Instances that no longer report to an earlier controller.
+    /// From when no earlier controller can have grants in force, once a majority has acknowledged this term.
+    std::optional<instant> m_acknowledged_bound;
     instant m_earliest_move{};
     instant m_term_start{};         ///< Start of the current term.
     instant m_last_holder_answer{}; ///< When the lease holder last answered a report.
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -95,7 +95,7 @@
 auto controller::take_over_keys(const service_id& service, service_control& state, key_map recorded) -> void {
     const auto now = monotonic_now();
     const auto version = recorded.revision;
-    if (state.loaded) {
+    if (state.loaded && state.grantor.owns_record) {
         rewrite_record(state.grantor, version);
         log::info("key_map_rewritten", {{"service", service}, {"revision", to_string(version)}});
         return;
@@ -108,9 +108,13 @@
         take_over(state.grantor, std::move(recorded), m_earliest_move, now);
         return;
     }
+    if (!m_predecessor_unknown) {
+        await_unknown_controllers(now);
+    }
     const auto copy = m_cluster.keys(service);
-    auto last_known =
-        copy != nullptr && recorded_at(*copy) > recorded_at(recorded) ? *copy : std::move(recorded);
+    const auto is_copy_later =
+        copy != nullptr && (recorded.ranges.empty() || recorded_at(*copy) > recorded_at(recorded));
+    auto last_known = is_copy_later ? *copy : std::move(recorded);
     log::warning("key_map_lost", {{"service", service},
                                   {"era", m_era},
                                   {"last_known", to_string(recorded_at(last_known))},
@@ -286,6 +290,19 @@
             on_write_failed(state->second.grantor);
             co_return;
         }
+        if (reply.status == store_status::conflict) {
+            // A write of an earlier era may have been carried out late; it says nothing about this era.
+            const auto found = co_await read_key_map(service);
+            const auto written = m_services.find(service);
+            if (m_term != term || written == m_services.end()) {
+                co_return;
+            }
+            if (found && found->era < m_era && found->revision.era == m_era) {
+                on_write_failed(written->second.grantor);
+                rewrite_record(written->second.grantor, found->revision);
+                co_return;
+            }
+        }
         if (reply.status == store_status::conflict || reply.status == store_status::missing) {
             end_term("another instance has written the key map");
             co_return;
--- a/src/teaselcross/gateway/controller_lease.cpp
+++ b/src/teaselcross/gateway/controller_lease.cpp
@@ -109,6 +109,14 @@
     }
 }
 
+auto controller::await_unknown_controllers(instant now) -> void {
+    const auto limit =
+        now + m_options.lease.term + m_options.lease_overrun + max_remaining_hold(make_grant_options());
+    const auto bound = std::min(limit, m_acknowledged_bound.value_or(limit));
+    m_predecessor_unknown = true;
+    set_earliest_move(std::max(m_earliest_move, bound));
+}
+
 auto controller::begin_term(std::optional<lease_object> before, bool is_lost) -> asio::awaitable<void> {
     ++m_term;
     m_services.clear();
@@ -135,12 +143,7 @@
     }
     m_is_controller = true;
     m_last_reports.clear();
-    m_acknowledged_by.clear();
-    for (const auto& each : m_cluster.instances()) {
-        if (each.name != m_settings.instance) {
-            asio::co_spawn(m_executor, announce_to(each, m_term), asio::detached);
-        }
-    }
+    announce_to_all();
     log::info("controller_began", {{"term", m_term},
                                    {"era", m_era},
                                    {"lease_lost", is_lost},
@@ -149,6 +152,17 @@
                                    {"moves_in_ms", (m_earliest_move - now).count() / 1000}});
 }
 
+/// Announces this instance as holder of the lease that was written last.
+auto controller::announce_to_all() -> void {
+    m_acknowledged_by.clear();
+    m_acknowledged_bound.reset();
+    for (const auto& each : m_cluster.instances()) {
+        if (each.name != m_settings.instance) {
+            asio::co_spawn(m_executor, announce_to(each, m_term, m_era), asio::detached);
+        }
+    }
+}
+
 /// Repeats the resignation request until the previous controller is known to have stopped.
 auto controller::retry_resignation_request(instance_id holder, std::uint64_t term) -> asio::awaitable<void> {
     while (m_is_controller || m_term == term) {
@@ -182,14 +196,15 @@
 
 /// Announces the new term to @a peer until it answers. Once a majority has acknowledged it, reports to any
 /// earlier controller run out soon.
-auto controller::announce_to(instance_record peer, std::uint64_t term) -> asio::awaitable<void> {
-    while (m_is_controller && m_term == term && m_lease.last_known) {
+auto controller::announce_to(instance_record peer, std::uint64_t term, std::uint64_t era)
+    -> asio::awaitable<void> {
+    while (m_is_controller && m_term == term && m_era == era && m_lease.last_known) {
         auto request =
             make_peer_request(controller_paths::announce, peer.internal, to_json(*m_lease.last_known).dump());
         auto address = peer.internal;
         const auto answer = co_await perform_exchange(m_peer_pool, std::move(address), std::move(request),
                                                       peer_timeout, max_peer_body_bytes);
-        if (!m_is_controller || m_term != term) {
+        if (!m_is_controller || m_term != term || m_era != era) {
             co_return;
         }
         if (answer && answer->body() == announcement_refused) {
@@ -199,8 +214,9 @@
             m_acknowledged_by.insert(peer.name);
             if (is_majority(m_acknowledged_by.size() + 1)) {
                 const auto last_report = monotonic_now() + peer_timeout + m_options.report_validity;
-                set_earliest_move(
-                    std::min(m_earliest_move, last_report + max_remaining_hold(make_grant_options())));
+                m_acknowledged_bound =
+                    m_acknowledged_bound.value_or(last_report + max_remaining_hold(make_grant_options()));
+                set_earliest_move(std::min(m_earliest_move, *m_acknowledged_bound));
             }
             co_return;
         }
@@ -251,7 +267,8 @@
         return false;
     }
     for (const auto& [service, state] : m_services) {
-        if (state.grantor.changed || state.grantor.writing) {
+        const auto is_recorded = !state.loaded || state.grantor.map.revision.era == m_era;
+        if (state.grantor.changed || state.grantor.writing || !is_recorded) {
             return false; // The stored key map names holders that have changed since.
         }
         for (const auto& [id, answers] : state.grantor.responses) {
@@ -311,6 +328,7 @@
     if (readable && m_is_controller && m_term == term && m_lease.last_known) {
         // The lease may have expired while the store was unavailable, or the store may have lost it; it can
         // still be renewed when no other instance has acquired it.
+        const auto was_held = holds_lease(m_lease, started);
         auto write = reclaim_lease(m_lease, started);
         const auto era = write.object.era;
         if (co_await write_lease(std::move(write)) && m_term == term) {
@@ -318,6 +336,10 @@
             if (era != m_era) {
                 log::info("lease_reclaimed", {{"term", m_term}, {"era", era}, {"before", m_era}});
                 m_era = era;
+                announce_to_all();
+                if (!was_held) {
+                    await_unknown_controllers(monotonic_now());
+                }
             }
         } else if (m_store.era() != m_era) {
             m_next_renewal = monotonic_now() + m_options.tick_interval;
--- a/tests/ownership/lease_test.cpp
+++ b/tests/ownership/lease_test.cpp
@@ -122,4 +122,16 @@
     EXPECT_TRUE(holds_lease(state, now));
 }
 
+// Guards against a candidate that reports to a holder of before the restore, or takes its lease at once: the
+// latest holder is given time to reclaim it.
+TEST(lease, a_lost_lease_names_no_holder_to_one_that_knew_none) {
+    auto state = candidate("b");
+    const auto lost = lease_object{.holder = instance_id{"a"}, .epoch = 3, .renewals = 7, .era = 1};
+    on_lease_read(state, lost, {.era = 2, .number = 90}, start);
+    EXPECT_TRUE(state.is_lost);
+    EXPECT_FALSE(state.last_known);
+    EXPECT_FALSE(next_lease_write(state, true, false, start));
+    EXPECT_TRUE(next_lease_write(state, true, false, start + std::chrono::seconds{3}));
+}
+
 } // namespace teaselcross::test
