--- a/src/teaselcross/gateway/controller_lease.cpp
+++ b/src/teaselcross/gateway/controller_lease.cpp
@@ -168,7 +168,7 @@
     while (m_is_controller || m_term == term) {
         co_await sleep_for(m_options.report_interval);
         const auto now = monotonic_now();
-        if (m_term != term || !m_is_controller ||
+        if (m_term != term || !m_is_controller || m_predecessor_unknown ||
             now + max_remaining_hold(make_grant_options()) >= m_earliest_move) {
             co_return;
         }
