Never list a process of a target again that a later one has replaced

Cause: the restored store lists a target under its earlier start time until the target has written its entry again. Keys were granted to that earlier process, the present one took them, and when its own entry came back it counted as restarted and without keys, so they were granted elsewhere.

Change: within the grace after a restore a description of an earlier process is dropped, and one of the same process with a lower sequence number is held back, whether the target was known as leaving or not.

Measured: the test fails without the change by construction of the old comparison, which looked at departed targets only; it passes with it.

--- a/src/teaselcross/gateway/cluster_state.cpp
+++ b/src/teaselcross/gateway/cluster_state.cpp
@@ -54,20 +54,23 @@
     m_era = era;
 }
 
-/// Whether @a listed is the description of a process that, later than this, was leaving or removed.
-auto cluster_state::contradicts_departure(const listed_target& listed) const -> bool {
-    const auto is_earlier = [&listed](const listed_target& known) {
-        return known.start_time_ms == listed.start_time_ms && known.sequence >= listed.sequence;
-    };
-    if (listed.leaving) {
-        return false;
-    }
+/// How @a listed relates to what is known of the target by its own order: its start, then its sequence
+/// number.
+auto cluster_state::compare_description(const listed_target& listed) const -> description_age {
     const auto found = m_targets.find(listed.id);
-    if (found != m_targets.end() && found->second->leaving_since) {
-        return is_earlier(found->second->view.listed);
-    }
     const auto departed = m_departed.find(listed.id);
-    return found == m_targets.end() && departed != m_departed.end() && is_earlier(departed->second.listed);
+    if (found == m_targets.end() && departed == m_departed.end()) {
+        return description_age::present;
+    }
+    const auto& known = found != m_targets.end() ? found->second->view.listed : departed->second.listed;
+    if (listed.start_time_ms != known.start_time_ms) {
+        return listed.start_time_ms < known.start_time_ms ? description_age::earlier_process
+                                                          : description_age::present;
+    }
+    const auto undoes_departure = known.leaving && !listed.leaving;
+    const auto is_earlier =
+        listed.sequence < known.sequence || (listed.sequence == known.sequence && undoes_departure);
+    return is_earlier ? description_age::earlier : description_age::present;
 }
 
 /// Applies what was held back, once the grace after a restore is over.
@@ -88,9 +91,13 @@
 
 auto cluster_state::put_target(const listed_target& listed, const store_revision& revision, instant now)
     -> void {
-    if (is_within_restore_grace(now) && contradicts_departure(listed)) {
-        log::info("target_entry_held_back", {{"target", listed.id}, {"sequence", listed.sequence}});
-        m_held_back_targets[listed.id] = {.listed = listed, .revision = revision};
+    const auto age = compare_description(listed);
+    if (is_within_restore_grace(now) && age != description_age::present) {
+        log::info("target_entry_held_back",
+                  {{"target", listed.id}, {"birth", listed.start_time_ms}, {"sequence", listed.sequence}});
+        if (age == description_age::earlier) {
+            m_held_back_targets[listed.id] = {.listed = listed, .revision = revision};
+        }
         return;
     }
     m_held_back_targets.erase(listed.id);
--- a/src/teaselcross/gateway/cluster_state.h
+++ b/src/teaselcross/gateway/cluster_state.h
@@ -127,6 +127,9 @@
         listed_target listed;
         instant since{};
     };
+    /// Whether a description is later than what is known of the target, or earlier. One of a process that was
+    /// replaced is never true again: keys granted to it would reach the process that replaced it.
+    enum class description_age { present, earlier, earlier_process };
     struct listed_entry {
         listed_target listed;
         store_revision revision;
@@ -134,7 +137,7 @@
 
     auto notify_change() -> void;
     auto is_within_restore_grace(instant now) const -> bool { return now < m_restore_grace_end; }
-    auto contradicts_departure(const listed_target& listed) const -> bool;
+    auto compare_description(const listed_target& listed) const -> description_age;
     auto apply_held_back(instant now) -> void;
 
     const gateway_settings& m_settings;
--- a/tests/gateway/cluster_state_test.cpp
+++ b/tests/gateway/cluster_state_test.cpp
@@ -100,6 +100,17 @@
     EXPECT_FALSE(leaving_since());
 }
 
+// Guards against two owners of a key: a grant to an earlier process of the target reaches the present one,
+// which then counts as restarted and without keys (found by the soak, seed 1005).
+TEST_F(cluster_state_restored, an_entry_of_an_earlier_process_is_never_used_again) {
+    put(1, 150, 25, false, start);
+    restore(start + seconds{2});
+    m_cluster.put_target({.id = target_id{"t"}, .start_time_ms = 6, .sequence = 40},
+                         {.era = 2, .number = 103}, start + seconds{2});
+    end_grace(start + seconds{2});
+    EXPECT_EQ(m_cluster.target(target_id{"t"})->view.listed.start_time_ms, 7U);
+}
+
 // Guards against requests to a data centre that is out of service, because its entry was missing from a
 // restored store until the operator's client had written it again.
 TEST_F(cluster_state_restored, a_data_centre_stays_out_of_service_while_its_entry_may_come_back) {
