--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -114,7 +114,7 @@
     const auto copy = m_cluster.keys(service);
     const auto is_copy_later =
         copy != nullptr && (recorded.ranges.empty() || recorded_at(*copy) > recorded_at(recorded));
-    auto last_known = is_copy_later ? *copy : std::move(recorded);
+    auto last_known = is_copy_later ? key_map{*copy} : std::move(recorded);
     log::warning("key_map_lost", {{"service", service},
                                   {"era", m_era},
                                   {"last_known", to_string(recorded_at(last_known))},
