--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr auto payments = 3;
-constexpr auto timeout_ms = 2000;  ///< timeout-s of the route, and the clients' time budget.
+constexpr auto timeout_ms = 2000;  ///< timeout-s of the route.
 constexpr auto late_ms = 500;      ///< RULES, CONFIG: "half a second later".
-constexpr auto watched_ms = 20000; ///< How long the clients wait for an answer.
+constexpr auto budget_ms = 20000;  ///< The clients' time budget: how long they wait for an answer.
 constexpr auto in_touch_ms = 4000; ///< Longer than stable-window-s (3).
 
 auto config() -> json {
@@ -106,7 +106,7 @@
             for (auto turn = 0; link && turn < 2; ++turn) {
                 const auto id = "pay-" + std::to_string(index) + "-" + std::to_string(turn);
                 is_faulty = trouble && turn == 1;
-                const auto end = ask(*link, "POST", "/pay/1", id, timeout_ms, watched_ms, {}, "amount=1");
+                const auto end = ask(*link, "POST", "/pay/1", id, budget_ms, budget_ms, {}, "amount=1");
                 notes.line("client: " + id + " " + end.end + " " +
                            (end.end == "answered" ? std::to_string(end.answer.status()) : "") + " after " +
                            std::to_string(end.took_ms) + " ms");
