--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -337,6 +337,47 @@
         const auto lock = std::lock_guard{m_mutex};
         erase(kind, name);
     }
+    /// Sets a function that is called after each write of the system has been answered.
+    auto set_write_listener(std::function<void(const std::string& kind, const json& spec)> listener) -> void {
+        m_on_written = std::move(listener);
+    }
+    auto has(const std::string& kind) -> bool {
+        const auto lock = std::lock_guard{m_mutex};
+        return !m_objects[kind].empty();
+    }
+    auto era() const -> int { return m_era; }
+
+    /// Keeps a copy of what the store has now.
+    auto keep_copy() -> void {
+        const auto lock = std::lock_guard{m_mutex};
+        m_copy_objects = m_objects;
+        m_copy_events = m_events;
+        m_copy_revision = m_revision;
+    }
+    /// The store is away: connections end without an answer.
+    auto go_away() -> void {
+        const auto lock = std::lock_guard{m_mutex};
+        m_is_away = true;
+        m_changed.notify_all();
+    }
+    /// The store comes back from its copy. What the operator and the upstreams wrote is written again.
+    auto come_back() -> void {
+        const auto lock = std::lock_guard{m_mutex};
+        auto written = std::map<std::string, std::map<std::string, json>>{};
+        for (const auto* kind : {"servers", "config", "evacuations"}) {
+            written[kind] = m_objects[kind];
+        }
+        m_objects = m_copy_objects;
+        m_events = m_copy_events;
+        m_revision = m_copy_revision;
+        ++m_era;
+        m_is_away = false;
+        for (const auto& [kind, objects] : written) {
+            for (const auto& [name, object] : objects) {
+                change(kind, name, object.at("spec"));
+            }
+        }
+    }
 
 private:
     struct event {
@@ -371,9 +412,10 @@
             m_changed.notify_all();
         }
     }
-    static auto answer(connection& to, int status, const json& body) -> bool {
+    auto answer(connection& to, int status, const json& body) const -> bool {
         return to.write(to_text("HTTP/1.1 " + std::to_string(status) + " X",
-                                {{"Content-Type", "application/json"}, {"Store-Era", "1"}}, body.dump()));
+                                {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(m_era)}},
+                                body.dump()));
     }
     auto serve(connection& from) -> void {
         while (const auto request = read_message(from, 3'600'000)) {
@@ -404,6 +446,9 @@
         const auto name = slash == std::string::npos ? std::string{} : path.substr(slash + 1);
         sleep_ms(2);
         auto lock = std::unique_lock{m_mutex};
+        if (m_is_away) {
+            return false;
+        }
         if (request.word(0) == "GET") {
             if (query.contains("watch")) {
                 return watch(from, kind, query, lock);
@@ -428,7 +473,14 @@
         const auto after = std::strtoull(query["watch"].c_str(), nullptr, 10);
         const auto wait = query.contains("wait-ms") ? std::strtoll(query["wait-ms"].c_str(), nullptr, 10) : 0;
         const auto until = steady::now() + milliseconds{std::min<std::int64_t>(wait, 30'000)};
+        const auto era = m_era;
         while (true) {
+            if (m_is_away) {
+                return false;
+            }
+            if (after > m_revision || m_era != era) {
+                return answer(from, 410, json::object());
+            }
             auto events = json::array();
             for (const auto& each : m_events) {
                 if (each.kind == kind && each.revision > after) {
@@ -470,7 +522,11 @@
             return answer(from, 200, json::object());
         }
         change(kind, name, body.value("spec", json{}));
-        return answer(from, 200, m_objects[kind][name]);
+        const auto is_answered = answer(from, 200, m_objects[kind][name]);
+        if (m_on_written) {
+            m_on_written(kind, m_objects[kind][name].at("spec"));
+        }
+        return is_answered;
     }
 
     std::mutex m_mutex;
@@ -478,6 +534,12 @@
     std::map<std::string, std::map<std::string, json>> m_objects;
     std::vector<event> m_events;
     std::uint64_t m_revision = 1;
+    int m_era = 1;
+    bool m_is_away = false;
+    std::map<std::string, std::map<std::string, json>> m_copy_objects;
+    std::vector<event> m_copy_events;
+    std::uint64_t m_copy_revision = 1;
+    std::function<void(const std::string&, const json&)> m_on_written;
     server m_server;
 };
 
@@ -537,7 +599,7 @@
         limits.update(bounds);
         m_settings = m_folder + "/" + m_name + ".json";
         // As the template of the deploy file is filled in.
-        std::ofstream{m_settings} << json{
+        m_content = json{
             {"node-name", m_name},
             {"role", "gateway"},
             {"machine-class", "edge"},
@@ -573,12 +635,16 @@
               {"history-s", 20},
               {"value-bytes", 1048576},
               {"ttl-min-s", 1}}}};
+        std::ofstream{m_settings} << m_content;
     }
     gateway(const gateway&) = delete;
     auto operator=(const gateway&) -> gateway& = delete;
     ~gateway() { end(); }
 
-    auto start() -> void {
+    /// Starts the process; @a again if the whole system has started before.
+    auto start(bool again = false) -> void {
+        m_content["bootstrap"] = !again;
+        std::ofstream{m_settings} << m_content;
         const auto log = ::open((m_folder + "/" + m_name + ".log").c_str(),
                                 O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         m_pid = ::fork();
@@ -642,6 +708,7 @@
     std::string m_name;
     std::string m_folder;
     std::string m_settings;
+    json m_content;
     std::string m_exit;
     pid_t m_pid = 0;
 };
