Log when the earlier holder of a range last acknowledged a grant

The log of an incident with two holders of a key could not tell a renewal that the next process of a target had answered from one that was read late: answered renewals had no line, and the first grant to the next holder did not say which process had held the keys before, nor how recently it answered.

key_order of a first grant has earlier_birth and earlier_answered_ms, and renewals that took over 250 ms have a line. No decision changes.

--- a/src/libteaselcross/ownership/holder_command.h
+++ b/src/libteaselcross/ownership/holder_command.h
@@ -35,6 +35,7 @@
     std::string handover;
     bool is_first = false;               ///< The holder has not acknowledged a grant with this fence before.
     target_incarnation earlier_holder;   ///< Before this holder, if there was one.
+    instant earlier_answered_at{};       ///< When that one last acknowledged a grant, if it did.
     move_proof proof = move_proof::none; ///< Why this holder could get the keys.
 };
 
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -90,6 +90,7 @@
                                  .next_call_at = now,
                                  .handover = std::move(before.handover),
                                  .earlier_holder = earlier_holder,
+                                 .earlier_answered_at = before.answered_at,
                                  .proof = proof};
 }
 
@@ -104,6 +105,7 @@
             .handover = kind == command_kind::grant ? progress.handover : std::string{},
             .is_first = kind == command_kind::grant && !progress.confirmed,
             .earlier_holder = progress.earlier_holder,
+            .earlier_answered_at = progress.earlier_answered_at,
             .proof = progress.proof};
 }
 
@@ -434,6 +436,7 @@
             progress.may_hold_until = std::max(progress.may_hold_until, aborted + longest_term(options));
         }
         if (result == command_result::done) {
+            progress.answered_at = now;
             progress.may_hold_until =
                 std::max(progress.may_hold_until - options.call_timeout, now + longest_term(options));
             state.changed = state.changed || !progress.confirmed;
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -61,7 +61,9 @@
     /// Another target that an earlier controller may already have granted the range to.
     target_incarnation possible_holder;
     std::string handover;                ///< Handover token from the last holder, sent with the next grant.
+    instant answered_at{};               ///< When the holder last acknowledged a grant of the keys.
     target_incarnation earlier_holder;   ///< The holder before this fence, if there was one.
+    instant earlier_answered_at{};       ///< When that one last acknowledged a grant.
     move_proof proof = move_proof::none; ///< Why the keys were free.
 };
 
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -29,14 +29,19 @@
 constexpr auto first_assignment_time_limit = duration{std::chrono::milliseconds{5000}};
 /// Service time assumed for a target without measurements, to estimate its capacity.
 constexpr auto default_service_us = 100'000.0;
+/// Renewals that take longer are logged although they were answered.
+constexpr auto slow_answer = duration{std::chrono::milliseconds{250}};
 
-/// Logs an order, but for renewals that were answered.
+/// Logs an order, but for renewals that were answered in time. A first grant names the earlier holder, and
+/// how long ago that one last acknowledged a grant; -1 if it did not.
 auto log_order(const service_id& service, const holder_command& order, command_result result, instant sent,
                instant now) -> void {
     const auto is_renewal = order.kind == command_kind::grant && !order.is_first;
-    if (is_renewal && result == command_result::done) {
+    if (is_renewal && result == command_result::done && now - sent <= slow_answer) {
         return;
     }
+    const auto answered_at = order.earlier_answered_at;
+    const auto answered_ms = answered_at == instant{} ? -1 : (sent - answered_at).count() / 1000;
     log::info("key_order", {{"kind", name_in(command_kind_names, order.kind)},
                             {"service", service},
                             {"target", order.to.id},
@@ -46,6 +51,8 @@
                             {"fence", order.fence},
                             {"hold_ms", order.term.count() / 1000},
                             {"earlier", order.earlier_holder.id},
+                            {"earlier_birth", order.earlier_holder.start_time_ms},
+                            {"earlier_answered_ms", answered_ms},
                             {"proof", name_in(move_proof_names, order.proof)},
                             {"result", name_in(command_result_names, result)},
                             {"ms", (now - sent).count() / 1000}});
