Keep the time of the old grant when a restarted target gets its keys back

A target that restarted while a grant was uncertain gets its own keys back under a new fence. The time for which it may hold them under the old one was kept only for the same process, so when the new grant could not be sent and the target restarted once more, the keys went to another one at once, while a renewal that the second process had answered was still in force.

The time is kept for the same target, whichever of its processes. Failed before: new_fence_for_the_next_process_does_not_end_the_grant_of_the_old_one.

--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -71,8 +71,8 @@
     if (proof == move_proof::expired || (was_released && may_have_stale_grant(state, range.holder.id, now))) {
         add_stale_grant(state.former, range, now);
     }
-    // The same process may hold the keys under its old fence until that grant expires.
-    const auto may_hold_until = range.next == range.holder ? std::max(now, before.may_hold_until) : now;
+    // The same target may hold the keys under its old fence until that grant expires.
+    const auto may_hold_until = range.next.id == range.holder.id ? std::max(now, before.may_hold_until) : now;
     const auto earlier_holder = range.holder;
     state.progress[range.fence].erase(range.first);
     if (state.progress[range.fence].empty()) {
--- a/tests/ownership/restarted_holder_test.cpp
+++ b/tests/ownership/restarted_holder_test.cpp
@@ -16,6 +16,7 @@
 constexpr auto start = instant{seconds{10}};
 const auto first_process = target_incarnation{.id = target_id{"a"}, .start_time_ms = 1};
 const auto second_process = target_incarnation{.id = target_id{"a"}, .start_time_ms = 2};
+const auto third_process = target_incarnation{.id = target_id{"a"}, .start_time_ms = 3};
 const auto other = target_incarnation{.id = target_id{"b"}, .start_time_ms = 1};
 
 class restarted_holder_test : public testing::Test {
@@ -91,5 +92,25 @@
     EXPECT_TRUE(gives_keys_to_other(answer(now)));
 }
 
+// Guards against a second owner when a restarted target gets its own keys back under a new fence, cannot be
+// reached, and loses them while the grant under the old fence is still in force.
+TEST_F(restarted_holder_test, new_fence_for_the_next_process_does_not_end_the_grant_of_the_old_one) {
+    const auto renewed = start + milliseconds{700};
+    const auto commands = due_commands(m_state, renewed);
+    for (const auto& command : commands) { // Uncertain, so that the next process is given its keys back.
+        on_command_finished(m_state, command,
+                            command.to == other ? command_result::done : command_result::unanswered, {},
+                            renewed, renewed);
+    }
+    list(second_process);
+    step(renewed + milliseconds{20}, command_result::not_sent);
+    ASSERT_EQ(m_state.map.ranges.front().holder, second_process);
+    list(third_process);
+    for (auto now = renewed + milliseconds{40}; now < renewed + longest_hold(); now += milliseconds{20}) {
+        ASSERT_FALSE(gives_keys_to_other(step(now, command_result::not_sent)))
+            << (now - renewed).count() / 1000 << " ms after the grant that is in force";
+    }
+}
+
 } // namespace
 } // namespace teaselcross::test
