Ask the process that replaced a former holder to release its keys

A former holder that left a grant unanswered is asked to release its keys until it has, but no longer once the list showed a later process of it. A call that was sent before that may wait in the sockets of just that process, which then takes the keys for a term while another target has them.

The later process is asked in place of the earlier one. Class: an answer, here a missing one, credited to the process that was meant.

holder_whose_process_has_ended_is_not_asked held the false assumption and is replaced by process_that_replaced_the_former_holder_is_asked, which asks for both releases and their end; it failed before.

--- a/src/libteaselcross/ownership/stale_grants.cpp
+++ b/src/libteaselcross/ownership/stale_grants.cpp
@@ -14,10 +14,17 @@
     });
 }
 
-auto has_ended(const std::set<target_incarnation>& present, const target_incarnation& holder) -> bool {
-    return std::any_of(present.begin(), present.end(), [&holder](const auto& each) {
-        return each.id == holder.id && each.start_time_ms > holder.start_time_ms;
-    });
+/// The process of the target of @a holder that may have the grant: a later one that is present, or else the
+/// one that it was sent to.
+auto latest_process(const std::set<target_incarnation>& present, const target_incarnation& holder)
+    -> target_incarnation {
+    auto latest = holder;
+    for (const auto& each : present) {
+        if (each.id == holder.id && each.start_time_ms > latest.start_time_ms) {
+            latest = each;
+        }
+    }
+    return latest;
 }
 
 } // namespace
@@ -33,27 +40,27 @@
 
 auto due_stale_releases(stale_grants& state, const key_map& map, const std::set<target_incarnation>& present,
                         instant now) -> std::vector<holder_command> {
-    std::erase_if(state.entries, [&](const auto& each) {
-        return now >= each.watched_until || has_ended(present, each.holder) || holds_again(map, each);
-    });
+    std::erase_if(state.entries,
+                  [&](const auto& each) { return now >= each.watched_until || holds_again(map, each); });
     auto commands = std::vector<holder_command>{};
-    auto asked = std::set<target_incarnation>{};
+    auto asked = std::set<target_id>{};
     for (const auto& each : state.entries) {
         if (each.call_pending) {
-            asked.insert(each.holder);
+            asked.insert(each.holder.id);
         }
     }
     for (auto& each : state.entries) {
         if (each.call_pending || now < each.next_call_at) {
             continue;
         }
-        const auto is_first = asked.insert(each.holder).second;
-        if (!is_first && !each.is_reachable && !present.contains(each.holder)) {
+        const auto is_first = asked.insert(each.holder.id).second;
+        const auto process = latest_process(present, each.holder);
+        if (!is_first && !each.is_reachable && !present.contains(process)) {
             continue;
         }
         each.call_pending = true;
         commands.push_back({.kind = command_kind::release,
-                            .to = each.holder,
+                            .to = process,
                             .first = each.first,
                             .last = each.last,
                             .fence = each.fence});
@@ -69,7 +76,7 @@
     auto found = false;
     for (auto& each : state.entries) {
         const auto is_called = each.fence == command.fence && each.first == command.first &&
-                               each.last == command.last && each.holder == command.to;
+                               each.last == command.last && each.holder.id == command.to.id;
         if (is_called) {
             found = true;
             each.call_pending = false;
@@ -82,7 +89,7 @@
     }
     const auto is_reachable = result != command_result::not_sent;
     for (auto& each : state.entries) {
-        if (each.holder == command.to) {
+        if (each.holder.id == command.to.id) {
             each.is_reachable = is_reachable;
             each.next_call_at = is_reachable
                                     ? each.next_call_at
--- a/src/libteaselcross/ownership/stale_grants.h
+++ b/src/libteaselcross/ownership/stale_grants.h
@@ -39,10 +39,10 @@
 /// Records that @a range moved away from its holder at @a now without a release.
 auto add_stale_grant(stale_grants& state, const key_range& range, instant now) -> void;
 
-/// Returns the releases to send now. @a present are the targets that exist, by their latest process. A holder
-/// that ended, or that holds keys of the range again by @a map, is not asked any more. One that is missing
-/// may have been suspended until its entry lapsed; it is asked at its last address, and for one range at a
-/// time while it cannot be reached.
+/// Returns the releases to send now. @a present are the targets that exist, by their latest process, which
+/// may have taken what was meant for an earlier one and is asked in its place. A holder that holds keys of
+/// the range again by @a map is not asked any more. One that is missing may have been suspended until its
+/// entry lapsed; it is asked at its last address, and for one range at a time while it cannot be reached.
 auto due_stale_releases(stale_grants& state, const key_map& map, const std::set<target_incarnation>& present,
                         instant now) -> std::vector<holder_command>;
 
--- a/tests/ownership/stale_grants_test.cpp
+++ b/tests/ownership/stale_grants_test.cpp
@@ -106,9 +106,20 @@
     EXPECT_EQ(due(now, {owner}).size(), 8U);
 }
 
-TEST_F(stale_grants_test, holder_whose_process_has_ended_is_not_asked) {
-    EXPECT_TRUE(due(start, {{.id = former.id, .start_time_ms = 2}, owner}).empty());
-    EXPECT_TRUE(due(start).empty());
+// Guards against a second owner when the grant waits in the sockets of the process that replaced the former
+// holder's: a call that is sent before the list shows the restart reaches that one.
+TEST_F(stale_grants_test, process_that_replaced_the_former_holder_is_asked) {
+    const auto replacement = target_incarnation{.id = former.id, .start_time_ms = 2};
+    auto now = start;
+    for (auto answers = 0U; answers < m_stale.options.releases_needed; ++answers) {
+        const auto commands = due(now, {replacement, owner});
+        ASSERT_EQ(commands.size(), 1U);
+        EXPECT_EQ(commands.front().to, replacement);
+        EXPECT_EQ(commands.front().fence, 7U);
+        finish(commands.front(), command_result::done, now);
+        now += m_stale.options.release_interval;
+    }
+    EXPECT_TRUE(due(now, {replacement, owner}).empty());
 }
 
 TEST_F(stale_grants_test, holder_that_gets_keys_of_the_range_again_is_not_asked) {
