Send a grant only to a target that has just answered a probe

Callers' keys had two owners after a target was suspended or late: the grants that were sent to it meanwhile had been aborted, but what has reached a process's sockets cannot be taken back, so it took them for new ones when it went on, while another target had the keys. So far former holders were only asked to release them afterwards.

Before each grant, the target gets a call without effect: the release of a key that another target holds. The calls moved from the controller to holder_calls.cpp. A release gets a connection of its own, as a late copy of a probe's answer could be taken for its; an answer with a handover token is none to a grant. Grants count as in flight from the moment they are sent.

no_grant_waits_in_the_sockets_of_a_suspended_target is by a new interface; the same call without a probe leaves the grant in the sockets, as grant_without_a_probe_waits_in_the_sockets shows. It costs one more call to a target for each renewal.

--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -151,8 +151,6 @@
     auto tick_service(const service_id& service, service_control& state, instant now) -> void;
     auto refresh_holders(const service_id& service, service_control& state, instant now) -> void;
     auto balance(const service_id& service, service_control& state, instant now) -> void;
-    auto call_holder(open_answer& opened, const holder_command& order, const http_request& request,
-                     instant deadline, std::string& handover) -> boost::asio::awaitable<command_result>;
     auto execute_order(service_id service, holder_command order, std::uint64_t term)
         -> boost::asio::awaitable<void>;
     auto write_key_map(service_id service, key_map map, std::uint64_t term) -> boost::asio::awaitable<void>;
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -2,9 +2,10 @@
 // reports.
 
 #include "gateway/controller.h"
+#include "gateway/holder_calls.h"
 #include "gateway/leaving_messages.h"
 #include "logging/log.h"
-#include "platform/messages.h"
+#include "ownership/holder_probe.h"
 #include "platform/store.h"
 #include "runtime/clock.h"
 
@@ -238,59 +239,37 @@
     }
 }
 
-/// Sends @a order on @a opened and reads the answer, until @a deadline.
-auto controller::call_holder(open_answer& opened, const holder_command& order, const http_request& request,
-                             instant deadline, std::string& handover) -> asio::awaitable<command_result> {
-    const auto time_left = [deadline] { return std::max(deadline - monotonic_now(), duration{1}); };
-    const auto is_sent = co_await send_request(opened, request, time_left());
-    auto is_received = false;
-    if (is_sent) {
-        const auto left = time_left();
-        const auto limits =
-            exchange_limits{.answer_timeout = left, .stall_timeout = left, .buffer_timeout = left};
-        is_received = co_await receive_answer(opened, false, limits);
-    }
-    if (!is_received) {
-        abort_exchange(opened);
-        co_return command_result::unanswered;
-    }
-    const auto response = http_response{opened.header()};
-    const auto result = platform::read_order_answer(order, response, handover);
-    // A late copy of the answer to a release could be taken for the answer to another one, so the connection
-    // is not used again.
-    if (order.kind == command_kind::grant) {
-        end_exchange(m_order_pool, std::move(opened));
-    }
-    co_return result;
-}
-
 auto controller::execute_order(service_id service, holder_command order, std::uint64_t term)
     -> asio::awaitable<void> {
     const auto is_grant = order.kind == command_kind::grant; // A late release makes nobody a holder.
-    m_grants_in_flight += is_grant ? 1U : 0U;
-    auto address = m_cluster.last_address(order.to);
-    auto result = command_result::not_sent;
-    auto handover = std::string{};
-    auto sent = monotonic_now();
     const auto limits = make_grant_options();
-    const auto timeout = is_grant ? limits.call_timeout : limits.release_timeout;
-    if (address) {
-        const auto request = platform::make_order(order, address->host);
-        auto opened = co_await open_exchange(m_order_pool, std::move(*address), duration::max());
-        // Connecting may have taken long, and the term or the right to send orders may have ended meanwhile.
-        sent = monotonic_now();
-        if (opened && m_term == term && may_send_orders(sent)) {
-            result = co_await call_holder(*opened, order, request, sent + timeout, handover);
+    const auto known = m_services.find(service);
+    auto address = m_cluster.last_address(order.to);
+    auto answer = holder_answer{.sent = monotonic_now()};
+    auto is_begun = false;
+    if (address && known != m_services.end()) {
+        auto call = holder_call{.address = std::move(*address),
+                                .order = order,
+                                .timeout = is_grant ? limits.call_timeout : limits.release_timeout};
+        if (is_grant) {
+            call.probe = make_probe(known->second.grantor.map, order);
         }
+        call.may_begin = [this, term, is_grant, &is_begun] {
+            is_begun = m_term == term && may_send_orders(monotonic_now());
+            m_grants_in_flight += is_grant && is_begun ? 1U : 0U;
+            return is_begun;
+        };
+        answer = co_await call_holder(m_order_pool, std::move(call));
     }
-    m_grants_in_flight -= is_grant ? 1U : 0U;
+    m_grants_in_flight -= is_grant && is_begun ? 1U : 0U;
     const auto now = monotonic_now();
-    m_measured.count(result == command_result::done ? counter::grants_made : counter::grants_unanswered);
-    log_order(service, order, result, sent, now);
+    m_measured.count(answer.result == command_result::done ? counter::grants_made
+                                                           : counter::grants_unanswered);
+    log_order(service, order, answer.result, answer.sent, now);
     const auto found = m_services.find(service);
     if (m_term == term && found != m_services.end()) {
-        on_command_finished(found->second.grantor, order, result, handover, sent, now);
-    } else if (m_is_controller && is_grant && result != command_result::not_sent) {
+        on_command_finished(found->second.grantor, order, answer.result, answer.handover, answer.sent, now);
+    } else if (m_is_controller && is_grant && answer.result != command_result::not_sent) {
         // An order of an earlier term of this process has ended only now.
         set_earliest_move(std::max(m_earliest_move, now + max_remaining_hold(limits)));
     }
--- /dev/null
+++ b/tests/gateway/holder_calls_test.cpp
@@ -0,0 +1,160 @@
+// Calls to targets whose process does not read: what was sent to it waits in its sockets, also after the
+// caller has aborted it.
+
+#include "gateway/holder_calls.h"
+#include "ownership/holder_probe.h"
+#include "platform/names.h"
+#include "runtime/clock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+namespace teaselcross {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr auto call_timeout = duration{milliseconds{200}};
+
+/// A target that reads nothing for a while, and then what has come meanwhile.
+class suspended_peer {
+public:
+    suspended_peer(asio::io_context& context, duration suspended)
+        : m_context{context},
+          m_acceptor{context, {asio::ip::address_v4::loopback(), 0}}, m_resumes{monotonic_now() + suspended} {
+        asio::co_spawn(m_context, accept(), asio::detached);
+    }
+
+    auto address() const -> endpoint {
+        return {.host = "127.0.0.1", .port = m_acceptor.local_endpoint().port()};
+    }
+    auto has_read(const std::string& path) const -> bool { return m_read.find(path) != std::string::npos; }
+    auto stop() -> void { m_acceptor.close(); }
+
+private:
+    auto accept() -> asio::awaitable<void> {
+        while (true) {
+            auto [error, socket] = co_await m_acceptor.async_accept(as_result);
+            if (error) {
+                co_return;
+            }
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    auto serve(asio::ip::tcp::socket socket) -> asio::awaitable<void> {
+        auto timer = asio::steady_timer{m_context, m_resumes - monotonic_now()};
+        static_cast<void>(co_await timer.async_wait(as_result));
+        auto part = std::array<char, 4096>{};
+        while (true) {
+            const auto [error, size] = co_await socket.async_read_some(asio::buffer(part), as_result);
+            if (error) {
+                co_return;
+            }
+            const auto text = std::string{part.data(), size};
+            m_read += text;
+            const auto is_release = text.find(platform::names::release_path) != std::string::npos;
+            const auto answer =
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" +
+                (is_release ? std::string{platform::names::handover} + ": token\r\n\r\n" : "\r\n");
+            const auto [write_error, written] =
+                co_await asio::async_write(socket, asio::buffer(answer), as_result);
+            if (write_error) {
+                co_return;
+            }
+        }
+    }
+
+    asio::io_context& m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    instant m_resumes;
+    std::string m_read;
+};
+
+class holder_calls_test : public testing::Test {
+protected:
+    /// Grants keys to a target that reads nothing for @a suspended, and waits until it has read everything.
+    auto grant(duration suspended, bool is_probed) -> holder_answer {
+        m_peer = std::make_unique<suspended_peer>(m_context, suspended);
+        const auto order = holder_command{.to = {.id = target_id{"a"}},
+                                          .first = 0,
+                                          .last = 99,
+                                          .fence = 3,
+                                          .term = std::chrono::milliseconds{2600}};
+        auto map = key_map{};
+        map.ranges = {{.first = 0, .last = 99, .fence = 3, .holder = order.to},
+                      {.first = 100, .last = last_shard_key, .fence = 2, .holder = {.id = target_id{"b"}}}};
+        auto call = holder_call{.address = m_peer->address(),
+                                .order = order,
+                                .probe = is_probed ? make_probe(map, order) : std::nullopt,
+                                .timeout = call_timeout,
+                                .may_begin = [] { return true; }};
+        auto given = holder_answer{};
+        asio::co_spawn(
+            m_context,
+            [&]() -> asio::awaitable<void> {
+                given = co_await call_holder(m_pool, std::move(call));
+                auto timer = asio::steady_timer{m_context, suspended + milliseconds{100}};
+                static_cast<void>(co_await timer.async_wait(as_result));
+                m_peer->stop();
+                m_context.stop();
+            },
+            asio::detached);
+        m_context.run();
+        return given;
+    }
+
+    asio::io_context m_context;
+    connection_pool m_pool{m_context.get_executor(), {.reset_on_close = true}};
+    std::unique_ptr<suspended_peer> m_peer;
+};
+
+// Guards against a second owner when a target that was suspended takes a grant that has waited in its sockets
+// since before it was aborted.
+TEST_F(holder_calls_test, no_grant_waits_in_the_sockets_of_a_suspended_target) {
+    const auto answer = grant(call_timeout * 3, true);
+    EXPECT_EQ(answer.result, command_result::not_sent);
+    EXPECT_FALSE(m_peer->has_read(platform::names::grant_path));
+}
+
+TEST_F(holder_calls_test, grant_is_sent_to_a_target_that_answers_the_probe) {
+    const auto answer = grant(duration::zero(), true);
+    EXPECT_EQ(answer.result, command_result::done);
+    EXPECT_TRUE(m_peer->has_read(platform::names::release_path));
+    EXPECT_TRUE(m_peer->has_read(platform::names::grant_path));
+}
+
+TEST_F(holder_calls_test, grant_without_a_probe_waits_in_the_sockets) {
+    const auto answer = grant(call_timeout * 3, false);
+    EXPECT_EQ(answer.result, command_result::unanswered);
+    EXPECT_TRUE(m_peer->has_read(platform::names::grant_path));
+}
+
+TEST(holder_probe, names_keys_of_another_holder_only) {
+    const auto a = target_incarnation{.id = target_id{"a"}};
+    const auto b = target_incarnation{.id = target_id{"b"}};
+    auto map = key_map{};
+    map.ranges = {{.first = 0, .last = 99, .fence = 3, .holder = a},
+                  {.first = 100, .last = 199, .fence = 4, .holder = b, .next_fence = 7, .next = a}};
+    EXPECT_FALSE(make_probe(map, {.to = a})) << "a is about to get the other keys";
+    map.ranges.push_back({.first = 200, .last = 299, .fence = 5, .holder = b});
+    const auto probe = make_probe(map, {.to = a});
+    ASSERT_TRUE(probe);
+    EXPECT_EQ(probe->kind, command_kind::release);
+    EXPECT_EQ(probe->to, a);
+    EXPECT_EQ(probe->first, 200U);
+    EXPECT_EQ(probe->last, 200U);
+    EXPECT_EQ(probe->fence, 5U);
+}
+
+} // namespace
+} // namespace teaselcross
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -217,6 +217,16 @@
     EXPECT_EQ(handover, "token");
 }
 
+/// A target wrote the answer to an earlier probe, which is a release, a second time.
+TEST(platform_messages, copy_of_the_answer_to_a_release_is_no_proof_of_a_grant) {
+    const auto order = holder_command{.kind = command_kind::grant, .first = 1, .last = 2, .fence = 12};
+    auto handover = std::string{};
+    auto answer = http_response{http::status::ok, 11};
+    EXPECT_EQ(platform::read_order_answer(order, answer, handover), command_result::done);
+    answer.set("Teaselcross-Handover", "token");
+    EXPECT_EQ(platform::read_order_answer(order, answer, handover), command_result::unanswered);
+}
+
 TEST(platform_messages, targets_that_leave_or_ask_for_quiet_are_recognised) {
     const auto read = [](http::status status, const std::string& field, const std::string& value) {
         auto answer = open_answer{};
