Wait longer for a grant that was aborted unanswered

On a host with hundreds of processes a target may read a grant a second after it arrived, and its term runs from then. The controller counted from the abort, half a second after the call, with a margin of 150 ms for timers, and gave the keys to another target while they were held.

A grant without an answer counts as read up to a second after its abort. Failed before: grant_that_may_be_read_late_delays_the_move, 2820 ms after the abort.

--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -127,11 +127,8 @@
         }
     }
     auto& progress = progress_of(state, range);
-    if (progress.call_pending || now < progress.next_call_at) {
-        return std::nullopt;
-    }
     const auto process = present_process(state, range);
-    if (!process) {
+    if (progress.call_pending || now < progress.next_call_at || !process) {
         return std::nullopt;
     }
     if (range.is_moving() && is_intent_recorded(state, range)) {
@@ -411,15 +408,16 @@
                          const std::string& handover, instant sent, instant now) -> void {
     auto& holder = state.responses[command.to.id];
     const auto& options = state.options;
-    // A process that was suspended aborts its calls late.
-    const auto aborted = std::max(now, sent + options.call_timeout);
+    // A process that was suspended aborts its calls late, and a holder may read them later still.
+    const auto latest_end =
+        std::max(now, sent + options.call_timeout) + options.late_reading + longest_term(options);
     on_stale_release_finished(state.former, command, result, now);
     if (command.kind == command_kind::grant) {
         const auto succeeded = result == command_result::done;
         holder.consecutive_failures =
             succeeded ? 0 : holder.consecutive_failures + (result == command_result::refused ? 0 : 1);
         if (result == command_result::unanswered) {
-            holder.uncertain_until = std::max(holder.uncertain_until, aborted + longest_term(options));
+            holder.uncertain_until = std::max(holder.uncertain_until, latest_end);
         }
     }
     // The range may have been split since the call; the result applies to each part.
@@ -439,7 +437,7 @@
             progress.may_hold_until = progress.previous_may_hold_until;
         }
         if (result == command_result::unanswered) {
-            progress.may_hold_until = std::max(progress.may_hold_until, aborted + longest_term(options));
+            progress.may_hold_until = std::max(progress.may_hold_until, latest_end);
         }
         if (result == command_result::done) {
             progress.answered_at = now;
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -35,7 +35,9 @@
     duration release_timeout =
         std::chrono::milliseconds{2000}; ///< A release waits for the requests in flight on the keys.
     duration margin = std::chrono::milliseconds{150}; ///< For timers that fire late.
-    double clock_drift = 0.02;                        ///< Largest relative lag of a holder's clock.
+    /// A grant that was aborted unanswered may still be read from the holder's sockets within this time.
+    duration late_reading = std::chrono::milliseconds{1000};
+    double clock_drift = 0.02;               ///< Largest relative lag of a holder's clock.
     std::uint32_t max_unanswered_grants = 4; ///< Consecutive unanswered grants after which ranges are moved.
 };
 
--- a/tests/ownership/suspended_holder_test.cpp
+++ b/tests/ownership/suspended_holder_test.cpp
@@ -82,6 +82,30 @@
     }
 }
 
+// Guards against a second owner when a holder that is short of processor time reads a grant only after it was
+// aborted: its term runs from then.
+TEST(suspended_holder_test, grant_that_may_be_read_late_delays_the_move) {
+    auto state = settled(start);
+    const auto sent = start + milliseconds{700};
+    const auto aborted = sent + state.options.call_timeout;
+    const auto read = aborted + milliseconds{1000};
+    for (auto now = sent; now < read + longest_hold(state); now += milliseconds{20}) {
+        start_evictions(state, {}, now);
+        write_now(state);
+        for (const auto& command : due_commands(state, now)) {
+            ASSERT_FALSE(command.to.id == b && command.first == 0)
+                << (now - aborted).count() / 1000 << " ms after the grant was aborted";
+            const auto is_first_call = now == sent;
+            if (command.to.id == a && is_first_call) {
+                on_command_finished(state, command, command_result::unanswered, {}, sent, aborted);
+            } else {
+                finish(state, command, command.to.id == a ? command_result::not_sent : command_result::done,
+                       now);
+            }
+        }
+    }
+}
+
 // Guards against a second owner when a holder refuses a renewal under an old fence and then cannot be
 // reached: its earlier grant goes on.
 TEST(suspended_holder_test, new_fence_for_the_same_holder_does_not_end_its_earlier_grant) {
