--- a/tests/ownership/holder_exploration_test.cpp
+++ b/tests/ownership/holder_exploration_test.cpp
@@ -23,7 +23,7 @@
 // Guards against a second owner when a restarted target gets its own keys back or is replaced as the next
 // holder, and its earlier grants are forgotten.
 TEST(holder_exploration_test, three_faults_around_a_move_make_no_second_holder) {
-    expect_one_holder({.faults = 3, .moves = 1}, 6, 50'000);
+    expect_one_holder({.faults = 3, .moves = 1}, 7, 50'000);
 }
 
 // Guards against a second owner when a range is split while a grant of the whole range is on its way.
