Keep asking a former holder for the keys that it did not get back

It was no longer asked to release any key of a range as soon as it held one of them again by the map: a range of a thousand keys was given up with the first key of it that the balance moved back.

Only the keys that it holds again are taken out of the entry; the rest is asked for, in parts. The answer to a call that was sent before counts for each part.

Failed before: holder_that_gets_some_keys_again_is_asked_for_the_others and release_that_is_on_its_way_counts_for_the_keys_that_are_left (both 0 calls in place of 2).

--- a/src/libteaselcross/ownership/stale_grants.cpp
+++ b/src/libteaselcross/ownership/stale_grants.cpp
@@ -6,12 +6,36 @@
 
 namespace {
 
-/// Whether the holder of @a grant holds keys of that range again, under a later fence.
-auto holds_again(const key_map& map, const stale_grant& grant) -> bool {
-    return std::any_of(map.ranges.begin(), map.ranges.end(), [&grant](const auto& range) {
-        const auto overlaps = range.first <= grant.last && grant.first <= range.last;
-        return overlaps && range.holder.id == grant.holder.id;
-    });
+/// The parts of @a grant whose keys its holder does not hold again by @a map, under a later fence.
+auto parts_not_held(const key_map& map, const stale_grant& grant) -> std::vector<stale_grant> {
+    auto parts = std::vector<stale_grant>{};
+    auto rest = grant;
+    for (const auto& range : map.ranges) {
+        const auto overlaps = range.first <= rest.last && rest.first <= range.last;
+        if (!overlaps || range.holder.id != grant.holder.id) {
+            continue;
+        }
+        if (rest.first < range.first) {
+            parts.push_back(rest);
+            parts.back().last = range.first - 1;
+        }
+        if (rest.last <= range.last) {
+            return parts;
+        }
+        rest.first = range.last + 1;
+    }
+    parts.push_back(rest);
+    return parts;
+}
+
+/// Drops the keys that their former holders hold again.
+auto drop_keys_held_again(stale_grants& state, const key_map& map) -> void {
+    auto kept = std::vector<stale_grant>{};
+    for (const auto& each : state.entries) {
+        auto parts = parts_not_held(map, each);
+        kept.insert(kept.end(), parts.begin(), parts.end());
+    }
+    state.entries = std::move(kept);
 }
 
 /// The process of the target of @a holder that may have the grant: a later one that is present, or else the
@@ -40,8 +64,8 @@
 
 auto due_stale_releases(stale_grants& state, const key_map& map, const std::set<target_incarnation>& present,
                         instant now) -> std::vector<holder_command> {
-    std::erase_if(state.entries,
-                  [&](const auto& each) { return now >= each.watched_until || holds_again(map, each); });
+    std::erase_if(state.entries, [now](const auto& each) { return now >= each.watched_until; });
+    drop_keys_held_again(state, map);
     auto commands = std::vector<holder_command>{};
     auto asked = std::set<target_id>{};
     for (const auto& each : state.entries) {
@@ -75,8 +99,9 @@
     }
     auto found = false;
     for (auto& each : state.entries) {
-        const auto is_called = each.fence == command.fence && each.first == command.first &&
-                               each.last == command.last && each.holder.id == command.to.id;
+        // The keys may have been split since the call; the result applies to each part.
+        const auto is_called = each.fence == command.fence && each.first >= command.first &&
+                               each.last <= command.last && each.holder.id == command.to.id;
         if (is_called) {
             found = true;
             each.call_pending = false;
--- a/src/libteaselcross/ownership/stale_grants.h
+++ b/src/libteaselcross/ownership/stale_grants.h
@@ -40,9 +40,10 @@
 auto add_stale_grant(stale_grants& state, const key_range& range, instant now) -> void;
 
 /// Returns the releases to send now. @a present are the targets that exist, by their latest process, which
-/// may have taken what was meant for an earlier one and is asked in its place. A holder that holds keys of
-/// the range again by @a map is not asked any more. One that is missing may have been suspended until its
-/// entry lapsed; it is asked at its last address, and for one range at a time while it cannot be reached.
+/// may have taken what was meant for an earlier one and is asked in its place. Keys that a holder holds again
+/// by @a map are not asked for any more; the others of its range are. One that is missing may have been
+/// suspended until its entry lapsed; it is asked at its last address, and for one range at a time while it
+/// cannot be reached.
 auto due_stale_releases(stale_grants& state, const key_map& map, const std::set<target_incarnation>& present,
                         instant now) -> std::vector<holder_command>;
 
--- a/tests/ownership/stale_grants_test.cpp
+++ b/tests/ownership/stale_grants_test.cpp
@@ -130,6 +130,41 @@
     EXPECT_TRUE(m_stale.entries.empty());
 }
 
+// Guards against a former holder that goes on with most keys of a stale grant because it got one back.
+TEST_F(stale_grants_test, holder_that_gets_some_keys_again_is_asked_for_the_others) {
+    m_map.ranges = {{.first = 0, .last = 29, .fence = 8, .holder = owner},
+                    {.first = 30, .last = 39, .fence = 9, .holder = former},
+                    {.first = 40, .last = 199, .fence = 8, .holder = owner}};
+    auto now = start;
+    for (auto answers = 0U; answers < m_stale.options.releases_needed; ++answers) {
+        const auto commands = due(now);
+        ASSERT_EQ(commands.size(), 2U);
+        EXPECT_EQ(commands[0].first, 0U);
+        EXPECT_EQ(commands[0].last, 29U);
+        EXPECT_EQ(commands[1].first, 40U);
+        EXPECT_EQ(commands[1].last, 99U);
+        for (const auto& each : commands) {
+            EXPECT_EQ(each.fence, 7U);
+            finish(each, command_result::done, now);
+        }
+        now += m_stale.options.release_interval;
+    }
+    EXPECT_TRUE(due(now).empty());
+}
+
+// Guards against an entry that waits for ever for a call that was sent before it was split.
+TEST_F(stale_grants_test, release_that_is_on_its_way_counts_for_the_keys_that_are_left) {
+    const auto commands = due(start);
+    ASSERT_EQ(commands.size(), 1U);
+    m_map.ranges = {{.first = 0, .last = 9, .fence = 9, .holder = former},
+                    {.first = 10, .last = 49, .fence = 8, .holder = owner},
+                    {.first = 50, .last = 50, .fence = 9, .holder = former},
+                    {.first = 51, .last = 199, .fence = 8, .holder = owner}};
+    EXPECT_TRUE(due(start + milliseconds{10}).empty()) << "the call is still pending";
+    finish(commands.front(), command_result::unanswered, start + milliseconds{20});
+    EXPECT_EQ(due(start + std::chrono::seconds{1}).size(), 2U);
+}
+
 TEST_F(stale_grants_test, holder_that_never_answers_is_not_asked_without_end) {
     EXPECT_TRUE(due(start + m_stale.options.watch_time).empty());
     EXPECT_TRUE(m_stale.entries.empty());
