Send the second release of stale keys at once after the first answer

The second release follows the first answer with the next tick, within 40 ms: by then the target has read the sockets that were ready as it went on, but for those that it had not accepted or that wait behind many requests. A third one therefore comes 0.25 s after the second answer. A call that is not answered is repeated after 0.25 s, as before. It costs one call more a range.

--- a/src/libteaselcross/ownership/stale_grants.cpp
+++ b/src/libteaselcross/ownership/stale_grants.cpp
@@ -105,8 +105,9 @@
         if (is_called) {
             found = true;
             each.call_pending = false;
-            each.next_call_at = now + state.options.release_interval;
             each.releases += result == command_result::done ? 1 : 0;
+            const auto is_first_answer = result == command_result::done && each.releases == 1;
+            each.next_call_at = is_first_answer ? now : now + state.options.release_interval;
         }
     }
     if (!found) {
--- a/src/libteaselcross/ownership/stale_grants.h
+++ b/src/libteaselcross/ownership/stale_grants.h
@@ -12,9 +12,12 @@
 namespace teaselcross {
 
 struct stale_grant_options {
-    duration release_interval = std::chrono::milliseconds{250}; ///< Between two releases.
-    /// One release may overtake a grant that waits in another connection of the holder.
-    std::uint32_t releases_needed = 2;
+    /// From the end of a release to the next one. The second one follows the first answer at once, for the
+    /// controller may end before the interval has passed.
+    duration release_interval = std::chrono::milliseconds{250};
+    /// One release may overtake a grant that waits in another connection of the holder. The grant may also be
+    /// read after the two that follow on one another, so a third one is sent after the interval.
+    std::uint32_t releases_needed = 3;
     duration watch_time = std::chrono::seconds{60}; ///< After that the holder is no longer asked.
 };
 
