Hand former holders that are still asked on to the successor in the key map

Two targets could hold the same keys for most of a term after a controller was killed: a former holder that may go on with a stale grant was asked only by the controller that had moved its keys. Its successor knew nothing of it, and take_over() began with an empty list. Class: a doubt that ends with the process that has it.

The key map has an optional list of former holders (target, birth, range, fence). It goes with the next write of the map, which a move without a release makes anyway once the next holder has answered; until then the record still has the move, and the successor repeats it. No entry makes a write of its own. The successor asks them anew, each for a minute at most. Neighbouring ranges of a holder are joined, the list has 128 entries at most, and changes that are sent to other instances name it only if it differs. It is missing in maps of earlier builds and not written when empty.

The model now records what is written, not what the controller has in memory, which is stricter.

--- a/src/libteaselcross/keyspace/key_map.cpp
+++ b/src/libteaselcross/keyspace/key_map.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr auto former_holdings_field = "former_holdings";
+
 auto range_to_json(const key_range& range) -> nlohmann::json {
     auto entry = nlohmann::json::array(
         {range.first, range.last, range.fence, range.holder.id.value(), range.holder.start_time_ms});
@@ -40,6 +42,33 @@
     return entries;
 }
 
+auto holdings_to_json(const std::vector<former_holding>& holdings) -> nlohmann::json {
+    auto entries = nlohmann::json::array();
+    for (const auto& each : holdings) {
+        entries.push_back(
+            {each.first, each.last, each.fence, each.holder.id.value(), each.holder.start_time_ms});
+    }
+    return entries;
+}
+
+/// None if @a document, which an earlier build may have written, does not mention them. Throws
+/// nlohmann::json::exception.
+auto read_holdings(const nlohmann::json& document) -> std::optional<std::vector<former_holding>> {
+    const auto found = document.find(former_holdings_field);
+    if (found == document.end()) {
+        return std::nullopt;
+    }
+    auto holdings = std::vector<former_holding>{};
+    for (const auto& entry : *found) {
+        holdings.push_back({.holder = {.id = target_id{entry.at(3).get<std::string>()},
+                                       .start_time_ms = entry.at(4).get<std::uint64_t>()},
+                            .first = entry.at(0).get<shard_key>(),
+                            .last = entry.at(1).get<shard_key>(),
+                            .fence = entry.at(2).get<std::uint64_t>()});
+    }
+    return holdings;
+}
+
 /// Reads the fields that a map and its changes have in common. Throws nlohmann::json::exception.
 template <class Content>
 auto read_content(const nlohmann::json& document, Content& content) -> void {
@@ -86,19 +115,27 @@
 }
 
 auto to_json(const key_map& map) -> nlohmann::json {
-    return {{"era", map.era},
-            {"holders_uncertain", map.holders_uncertain},
-            {"fences_used", map.fences_used},
-            {"writer", map.writer},
-            {"ranges", ranges_to_json(map.ranges)}};
+    auto document = nlohmann::json{{"era", map.era},
+                                   {"holders_uncertain", map.holders_uncertain},
+                                   {"fences_used", map.fences_used},
+                                   {"writer", map.writer},
+                                   {"ranges", ranges_to_json(map.ranges)}};
+    if (!map.former_holdings.empty()) {
+        document[former_holdings_field] = holdings_to_json(map.former_holdings);
+    }
+    return document;
 }
 
 auto to_json(const key_map_changes& changes) -> nlohmann::json {
-    return {{"era", changes.era},
-            {"holders_uncertain", changes.holders_uncertain},
-            {"fences_used", changes.fences_used},
-            {"writer", changes.writer},
-            {"ranges", ranges_to_json(changes.ranges)}};
+    auto document = nlohmann::json{{"era", changes.era},
+                                   {"holders_uncertain", changes.holders_uncertain},
+                                   {"fences_used", changes.fences_used},
+                                   {"writer", changes.writer},
+                                   {"ranges", ranges_to_json(changes.ranges)}};
+    if (changes.former_holdings) {
+        document[former_holdings_field] = holdings_to_json(*changes.former_holdings);
+    }
+    return document;
 }
 
 auto changes_between(const key_map& before, const key_map& after) -> key_map_changes {
@@ -112,6 +149,9 @@
             changes.ranges.push_back(range);
         }
     }
+    if (after.former_holdings != before.former_holdings) {
+        changes.former_holdings = after.former_holdings;
+    }
     return changes;
 }
 
@@ -121,7 +161,8 @@
                        .era = changes.era,
                        .holders_uncertain = changes.holders_uncertain,
                        .fences_used = changes.fences_used,
-                       .writer = changes.writer};
+                       .writer = changes.writer,
+                       .former_holdings = changes.former_holdings.value_or(before.former_holdings)};
     auto changed = changes.ranges.begin();
     for (const auto& range : before.ranges) {
         while (changed != changes.ranges.end() && changed->first <= range.first) {
@@ -144,6 +185,7 @@
     auto changes = key_map_changes{};
     try {
         read_content(document, changes);
+        changes.former_holdings = read_holdings(document);
     } catch (const nlohmann::json::exception& fault) {
         return tl::unexpected(std::string{fault.what()});
     }
@@ -155,6 +197,7 @@
     auto map = key_map{.revision = revision};
     try {
         read_content(document, map);
+        map.former_holdings = read_holdings(document).value_or(std::vector<former_holding>{});
     } catch (const nlohmann::json::exception& fault) {
         return tl::unexpected(std::string{fault.what()});
     }
--- a/src/libteaselcross/keyspace/key_map.h
+++ b/src/libteaselcross/keyspace/key_map.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,16 @@
     auto operator==(const key_range&) const -> bool = default;
 };
 
+/// Keys that a target held before, and may go on with: it has not been proved to have released them.
+struct former_holding {
+    target_incarnation holder;
+    shard_key first = 0;
+    shard_key last = 0; ///< Inclusive.
+    std::uint64_t fence = 0;
+
+    auto operator==(const former_holding&) const -> bool = default;
+};
+
 /// All ranges of a service in ascending order, without gaps.
 struct key_map {
     store_revision revision; ///< Revision of the store's object; number 0 if there is none.
@@ -48,6 +59,8 @@
     std::uint64_t fences_used = 0;
     std::string writer; ///< Identifies the write, to recognise it after a lost reply.
     std::vector<key_range> ranges;
+    /// What the writer asked former holders to release when it wrote the map. Earlier builds write none.
+    std::vector<former_holding> former_holdings;
 };
 
 /// When @a map was recorded. A store that was restored holds maps of an earlier era under new revisions.
@@ -71,6 +84,7 @@
     std::uint64_t fences_used = 0;
     std::string writer;
     std::vector<key_range> ranges;
+    std::optional<std::vector<former_holding>> former_holdings; ///< None if they have not changed.
 };
 
 /// The changes that lead from @a before to @a after. Thread safe if the maps are not modified.
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -264,7 +264,7 @@
     state.progress.clear();
     state.unrecorded_intents.clear();
     state.responses.clear();
-    state.former.entries.clear();
+    resume_stale_grants(state.former, state.map.former_holdings, now);
     state.taken_over_at = now;
     state.changed = !state.map.ranges.empty();
     state.writing = false;
@@ -395,9 +395,6 @@
             commands.push_back(std::move(*command));
         }
     }
-    if (state.former.entries.empty()) {
-        return commands;
-    }
     auto present = std::set<target_incarnation>{};
     for (const auto& [id, holder] : state.holders) {
         present.insert(holder.incarnation);
@@ -464,6 +461,7 @@
     }
     state.changed = false;
     state.writing = true;
+    state.map.former_holdings = recorded_former_holdings(state.former);
     return state.map;
 }
 
--- a/src/libteaselcross/ownership/stale_grants.cpp
+++ b/src/libteaselcross/ownership/stale_grants.cpp
@@ -1,6 +1,7 @@
 #include "ownership/stale_grants.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace teaselcross {
 
@@ -38,6 +39,26 @@
     state.entries = std::move(kept);
 }
 
+/// Joins holdings of the same target between which there are at most @a gap keys.
+auto joined(std::vector<former_holding> holdings, shard_key gap) -> std::vector<former_holding> {
+    std::sort(holdings.begin(), holdings.end(), [](const auto& left, const auto& right) {
+        return std::tie(left.holder.id, left.first) < std::tie(right.holder.id, right.first);
+    });
+    auto result = std::vector<former_holding>{};
+    for (const auto& each : holdings) {
+        if (result.empty() || result.back().holder.id != each.holder.id ||
+            each.first > result.back().last + 1 + gap) {
+            result.push_back(each);
+            continue;
+        }
+        auto& last = result.back();
+        last.last = std::max(last.last, each.last);
+        last.fence = std::max(last.fence, each.fence);
+        last.holder = std::max(last.holder, each.holder);
+    }
+    return result;
+}
+
 /// The process of the target of @a holder that may have the grant: a later one that is present, or else the
 /// one that it was sent to.
 auto latest_process(const std::set<target_incarnation>& present, const target_incarnation& holder)
@@ -62,6 +83,33 @@
                              .watched_until = now + state.options.watch_time});
 }
 
+auto resume_stale_grants(stale_grants& state, const std::vector<former_holding>& recorded, instant now)
+    -> void {
+    state.entries.clear();
+    for (const auto& each : recorded) {
+        add_stale_grant(
+            state, {.first = each.first, .last = each.last, .fence = each.fence, .holder = each.holder}, now);
+    }
+}
+
+auto recorded_former_holdings(const stale_grants& state) -> std::vector<former_holding> {
+    auto holdings = std::vector<former_holding>{};
+    for (const auto& each : state.entries) {
+        holdings.push_back(
+            {.holder = each.holder, .first = each.first, .last = each.last, .fence = each.fence});
+    }
+    auto result = joined(holdings, 0);
+    if (result.size() > state.options.max_recorded) {
+        result = joined(std::move(holdings), last_shard_key);
+    }
+    if (result.size() > state.options.max_recorded) {
+        std::sort(result.begin(), result.end(),
+                  [](const auto& left, const auto& right) { return left.fence > right.fence; });
+        result.resize(state.options.max_recorded);
+    }
+    return result;
+}
+
 auto due_stale_releases(stale_grants& state, const key_map& map, const std::set<target_incarnation>& present,
                         instant now) -> std::vector<holder_command> {
     std::erase_if(state.entries, [now](const auto& each) { return now >= each.watched_until; });
--- a/src/libteaselcross/ownership/stale_grants.h
+++ b/src/libteaselcross/ownership/stale_grants.h
@@ -19,6 +19,7 @@
     /// read after the two that follow on one another, so a third one is sent after the interval.
     std::uint32_t releases_needed = 3;
     duration watch_time = std::chrono::seconds{60}; ///< After that the holder is no longer asked.
+    std::size_t max_recorded = 128;                 ///< Former holdings in a key map.
 };
 
 /// A range that a former holder may take for its own.
@@ -42,6 +43,16 @@
 /// Records that @a range moved away from its holder at @a now without a release.
 auto add_stale_grant(stale_grants& state, const key_range& range, instant now) -> void;
 
+/// Begins with the former holders that an earlier controller has recorded, in place of all earlier entries.
+auto resume_stale_grants(stale_grants& state, const std::vector<former_holding>& recorded, instant now)
+    -> void;
+
+/// What a successor has to know of the former holders that are still asked. Neighbouring ranges of a holder
+/// are joined under the higher fence, which is below that of any later grant. Above max_recorded, all ranges
+/// of a holder are joined, for a successor does not ask for keys that the holder has; if that does not
+/// suffice, the latest remain.
+auto recorded_former_holdings(const stale_grants& state) -> std::vector<former_holding>;
+
 /// Returns the releases to send now. @a present are the targets that exist, by their latest process, which
 /// may have taken what was meant for an earlier one and is asked in its place. Keys that a holder holds again
 /// by @a map are not asked for any more; the others of its range are. One that is missing may have been
--- a/tests/ownership/stale_grants_test.cpp
+++ b/tests/ownership/stale_grants_test.cpp
@@ -170,6 +170,39 @@
     EXPECT_EQ(due(start + m_stale.options.release_interval).size(), 1U);
 }
 
+// Guards against a successor that asks nobody, or under a fence that the grant outranks.
+TEST_F(stale_grants_test, successor_asks_for_what_was_recorded) {
+    add_stale_grant(m_stale, {.first = 300, .last = 399, .fence = 4, .holder = owner}, start);
+    const auto recorded = recorded_former_holdings(m_stale);
+    auto successor = stale_grants{};
+    add_stale_grant(successor, {.first = 900, .last = 999, .fence = 3, .holder = owner}, start);
+    const auto now = start + std::chrono::minutes{5};
+    resume_stale_grants(successor, recorded, now);
+    const auto commands = due_stale_releases(successor, m_map, {owner}, now);
+    ASSERT_EQ(commands.size(), 2U) << "the entries of an earlier term are gone";
+    EXPECT_EQ(commands[0].to, former);
+    EXPECT_EQ(commands[0].first, 0U);
+    EXPECT_EQ(commands[0].last, 99U);
+    EXPECT_EQ(commands[0].fence, 7U);
+    EXPECT_EQ(commands[1].to, owner);
+    EXPECT_EQ(commands[1].fence, 4U);
+}
+
+// Guards against a key map that grows with each move.
+TEST_F(stale_grants_test, recorded_ranges_are_joined_and_bounded) {
+    add_ranges();
+    add_stale_grant(m_stale, {.first = 100, .last = 149, .fence = 9, .holder = former}, start);
+    EXPECT_EQ(recorded_former_holdings(m_stale),
+              (std::vector<former_holding>{{.holder = former, .first = 0, .last = 149, .fence = 9},
+                                           {.holder = former, .first = 200, .last = 999, .fence = 6}}));
+    m_stale.options.max_recorded = 1;
+    EXPECT_EQ(recorded_former_holdings(m_stale),
+              (std::vector<former_holding>{{.holder = former, .first = 0, .last = 999, .fence = 9}}));
+    add_stale_grant(m_stale, {.first = 0, .last = 9, .fence = 10, .holder = owner}, start);
+    EXPECT_EQ(recorded_former_holdings(m_stale),
+              (std::vector<former_holding>{{.holder = owner, .first = 0, .last = 9, .fence = 10}}));
+}
+
 // Guards against a former holder that goes on with most keys of a stale grant because it got one back.
 TEST_F(stale_grants_test, holder_that_gets_some_keys_again_is_asked_for_the_others) {
     m_map.ranges = {{.first = 0, .last = 29, .fence = 8, .holder = owner},
--- a/tests/ownership/suspended_holder_test.cpp
+++ b/tests/ownership/suspended_holder_test.cpp
@@ -102,7 +102,7 @@
 
 /// Which processes a model suspends. While both are, nothing can take a stale grant back. Entries of listed
 /// holders lapse while they are suspended, and return with the first heartbeat after that.
-enum class suspended_part { holders, listed_holders, controller };
+enum class suspended_part { holders, listed_holders, controller, holders_of_killed_controllers };
 
 /// Holders and calls on their way, in virtual time. Processes are suspended at random.
 class suspension_model {
@@ -123,7 +123,9 @@
                 update_list();
             }
             deliver_calls();
-            if (m_suspended == suspended_part::controller && m_random() % 3000 == 0) {
+            const auto is_killed = m_suspended == suspended_part::controller ||
+                                   m_suspended == suspended_part::holders_of_killed_controllers;
+            if (is_killed && m_random() % 3000 == 0) {
                 replace_controller();
             }
             if (m_now >= m_controller_resumes) {
@@ -211,8 +213,10 @@
                 start_move(m_state, range.first, range.last, {.id = to->first, .start_time_ms = 1});
             }
         }
-        write_now(m_state);
-        m_recorded = m_state.owns_record ? m_state.map : m_recorded;
+        if (auto map = next_write(m_state)) {
+            m_recorded = *map;
+            on_written(m_state, *map, {.number = map->revision.number + 1});
+        }
         for (auto& command : due_commands(m_state, m_now)) {
             const auto is_grant = command.kind == command_kind::grant;
             const auto timeout = is_grant ? m_state.options.call_timeout : m_state.options.release_timeout;
@@ -315,6 +319,51 @@
     }
 }
 
+// Guards against a former holder that nobody asks any more when the controller that asked it is killed.
+TEST(suspended_holder_test, successor_goes_on_asking_the_former_holder) {
+    auto state = settled(start);
+    auto now = start;
+    const auto is_settled = [&state] {
+        return !state.map.ranges.front().is_moving() && state.map.ranges.front().holder.id == b &&
+               is_served(state, 0);
+    };
+    for (; !is_settled() && now < start + seconds{20}; now += milliseconds{20}) {
+        start_evictions(state, {}, now);
+        write_now(state);
+        for (const auto& command : due_commands(state, now)) {
+            finish(state, command, command.to.id == a ? command_result::unanswered : command_result::done,
+                   now);
+        }
+    }
+    ASSERT_TRUE(is_settled());
+    const auto recorded = next_write(state);
+    ASSERT_TRUE(recorded);
+    auto successor = range_grantor{};
+    take_over(successor, *recorded, now + max_remaining_hold(successor.options), now);
+    set_holders(successor, holders({"b"}));
+    EXPECT_TRUE(due_commands(successor, now).empty()) << "the predecessor may still write";
+    write_now(successor);
+    auto asked = std::vector<holder_command>{};
+    for (const auto& command : due_commands(successor, now)) {
+        if (command.to.id == a) {
+            asked.push_back(command);
+        }
+    }
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_EQ(asked.front().kind, command_kind::release);
+    EXPECT_EQ(asked.front().first, 0U);
+    EXPECT_EQ(asked.front().last, state.map.ranges.front().last);
+}
+
+// Guards against two owners when a holder takes a stale grant after the controller that moved its keys was
+// killed.
+TEST(suspended_holder_test, no_two_holders_hold_a_key_for_long_after_controllers_were_killed) {
+    for (auto seed = 0U; seed < 40; ++seed) {
+        auto model = suspension_model{seed, suspended_part::holders_of_killed_controllers};
+        EXPECT_LE(model.run(seconds{120}), milliseconds{500}) << "seed " << seed;
+    }
+}
+
 // Guards against two owners when a controller is suspended while its calls are on their way, or is killed
 // then.
 TEST(suspended_holder_test, no_two_holders_hold_a_key_while_the_controller_is_suspended) {
