--- a/src/libteaselcross/ownership/stale_grants.cpp
+++ b/src/libteaselcross/ownership/stale_grants.cpp
@@ -1,17 +1,62 @@
 #include "ownership/stale_grants.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace teaselcross {
 
 namespace {
 
-/// Whether the holder of @a grant holds keys of that range again, under a later fence.
-auto holds_again(const key_map& map, const stale_grant& grant) -> bool {
-    return std::any_of(map.ranges.begin(), map.ranges.end(), [&grant](const auto& range) {
-        const auto overlaps = range.first <= grant.last && grant.first <= range.last;
-        return overlaps && range.holder.id == grant.holder.id;
+/// The parts of @a grant whose keys its holder does not hold again by @a map, under a later fence.
+auto parts_not_held(const key_map& map, const stale_grant& grant) -> std::vector<stale_grant> {
+    auto parts = std::vector<stale_grant>{};
+    auto rest = grant;
+    for (const auto& range : map.ranges) {
+        const auto overlaps = range.first <= rest.last && rest.first <= range.last;
+        if (!overlaps || range.holder.id != grant.holder.id) {
+            continue;
+        }
+        if (rest.first < range.first) {
+            parts.push_back(rest);
+            parts.back().last = range.first - 1;
+        }
+        if (rest.last <= range.last) {
+            return parts;
+        }
+        rest.first = range.last + 1;
+    }
+    parts.push_back(rest);
+    return parts;
+}
+
+/// Drops the keys that their former holders hold again.
+auto drop_keys_held_again(stale_grants& state, const key_map& map) -> void {
+    auto kept = std::vector<stale_grant>{};
+    for (const auto& each : state.entries) {
+        auto parts = parts_not_held(map, each);
+        kept.insert(kept.end(), parts.begin(), parts.end());
+    }
+    state.entries = std::move(kept);
+}
+
+/// Joins holdings of the same target between which there are at most @a gap keys.
+auto joined(std::vector<former_holding> holdings, shard_key gap) -> std::vector<former_holding> {
+    std::sort(holdings.begin(), holdings.end(), [](const auto& left, const auto& right) {
+        return std::tie(left.holder.id, left.first) < std::tie(right.holder.id, right.first);
     });
+    auto result = std::vector<former_holding>{};
+    for (const auto& each : holdings) {
+        if (result.empty() || result.back().holder.id != each.holder.id ||
+            each.first > result.back().last + 1 + gap) {
+            result.push_back(each);
+            continue;
+        }
+        auto& last = result.back();
+        last.last = std::max(last.last, each.last);
+        last.fence = std::max(last.fence, each.fence);
+        last.holder = std::max(last.holder, each.holder);
+    }
+    return result;
 }
 
 /// The process of the target of @a holder that may have the grant: a later one that is present, or else the
@@ -38,10 +83,37 @@
                              .watched_until = now + state.options.watch_time});
 }
 
+auto resume_stale_grants(stale_grants& state, const std::vector<former_holding>& recorded, instant now)
+    -> void {
+    state.entries.clear();
+    for (const auto& each : recorded) {
+        add_stale_grant(
+            state, {.first = each.first, .last = each.last, .fence = each.fence, .holder = each.holder}, now);
+    }
+}
+
+auto recorded_former_holdings(const stale_grants& state) -> std::vector<former_holding> {
+    auto holdings = std::vector<former_holding>{};
+    for (const auto& each : state.entries) {
+        holdings.push_back(
+            {.holder = each.holder, .first = each.first, .last = each.last, .fence = each.fence});
+    }
+    auto result = joined(holdings, 0);
+    if (result.size() > state.options.max_recorded) {
+        result = joined(std::move(holdings), last_shard_key);
+    }
+    if (result.size() > state.options.max_recorded) {
+        std::sort(result.begin(), result.end(),
+                  [](const auto& left, const auto& right) { return left.fence > right.fence; });
+        result.resize(state.options.max_recorded);
+    }
+    return result;
+}
+
 auto due_stale_releases(stale_grants& state, const key_map& map, const std::set<target_incarnation>& present,
                         instant now) -> std::vector<holder_command> {
-    std::erase_if(state.entries,
-                  [&](const auto& each) { return now >= each.watched_until || holds_again(map, each); });
+    std::erase_if(state.entries, [now](const auto& each) { return now >= each.watched_until; });
+    drop_keys_held_again(state, map);
     auto commands = std::vector<holder_command>{};
     auto asked = std::set<target_id>{};
     for (const auto& each : state.entries) {
@@ -75,13 +147,15 @@
     }
     auto found = false;
     for (auto& each : state.entries) {
-        const auto is_called = each.fence == command.fence && each.first == command.first &&
-                               each.last == command.last && each.holder.id == command.to.id;
+        // The keys may have been split since the call; the result applies to each part.
+        const auto is_called = each.fence == command.fence && each.first >= command.first &&
+                               each.last <= command.last && each.holder.id == command.to.id;
         if (is_called) {
             found = true;
             each.call_pending = false;
-            each.next_call_at = now + state.options.release_interval;
             each.releases += result == command_result::done ? 1 : 0;
+            const auto is_first_answer = result == command_result::done && each.releases == 1;
+            each.next_call_at = is_first_answer ? now : now + state.options.release_interval;
         }
     }
     if (!found) {
