--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -227,6 +227,7 @@
                        std::chrono::duration_cast<duration>(std::chrono::duration<double>(m_options.seconds));
     spawn(m_context, restores(until));
     spawn(m_context, suspensions(until));
+    spawn(m_context, late_reading(until));
     spawn(m_context, watch_owners());
     while (monotonic_now() < until) {
         spawn(m_context, series(static_cast<int>(m_random() % kinds)));
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,6 +25,8 @@
 constexpr auto first_seed_with_restores = std::uint64_t{1000};
 /// Earlier seeds suspend no targets.
 constexpr auto first_seed_with_suspensions = std::uint64_t{2000};
+/// From here on targets read late and are not suspended.
+constexpr auto first_seed_with_late_reading = std::uint64_t{3000};
 constexpr auto drain_bound = duration{std::chrono::seconds{2}};
 /// By index of an instance or a target, in turn.
 constexpr auto data_centres = std::array<const char*, 2>{"west", "east"};
@@ -96,6 +98,8 @@
     /// Suspends processes of targets that hold keys, and at times the controller beside them.
     auto suspensions(instant until) -> boost::asio::awaitable<void>;
     auto suspend_target(target& chosen, duration length) -> boost::asio::awaitable<void>;
+    /// Spells in which a share of the targets that hold keys read late.
+    auto late_reading(instant until) -> boost::asio::awaitable<void>;
     auto watch_owners() -> boost::asio::awaitable<void>;
     auto restores(instant until) -> boost::asio::awaitable<void>;
     auto restore_store() -> boost::asio::awaitable<void>;
--- a/tests/soak/suspensions.cpp
+++ b/tests/soak/suspensions.cpp
@@ -35,7 +35,7 @@
 }
 
 auto soak::suspensions(instant until) -> asio::awaitable<void> {
-    if (m_options.seed < first_seed_with_suspensions) {
+    if (m_options.seed < first_seed_with_suspensions || m_options.seed >= first_seed_with_late_reading) {
         co_return;
     }
     const auto drawn = [this](double least, double most) {
--- a/tests/soak/targets.cpp
+++ b/tests/soak/targets.cpp
@@ -56,6 +56,7 @@
     m_leaving_since.reset();
     m_up = true;
     m_is_suspended = false;
+    m_started_at = monotonic_now();
     if (m_server) {
         m_past_servers.push_back(std::move(m_server)); // Its last handlers may still run.
     }
@@ -127,7 +128,8 @@
             const auto last = std::min(own.last, theirs.last);
             if (m_up && other.m_up && counts(own) && counts(theirs) && first <= last) {
                 return std::to_string(first) + "-" + std::to_string(last) + " with fences " +
-                       std::to_string(own.fence) + " and " + std::to_string(theirs.fence);
+                       std::to_string(own.fence) + " and " + std::to_string(theirs.fence) + "; " +
+                       describe(own, now) + "; " + other.describe(theirs, now);
             }
         }
     }
@@ -162,7 +164,12 @@
 
 auto target::handle(responder& from, http_request request) -> asio::awaitable<bool> {
     const auto life = m_life;
-    const auto is_late = m_is_suspended;
+    const auto delay = draw_read_delay();
+    const auto how =
+        reading{.arrived_at = monotonic_now(), .is_late = m_is_suspended || delay > duration::zero()};
+    if (delay > duration::zero()) {
+        co_await pause(m_group.context(), delay);
+    }
     while (m_is_suspended && m_life == life) {
         co_await pause(m_group.context(), work_poll);
     }
@@ -175,13 +182,13 @@
     }
     const auto path = std::string{request.target()};
     if (path == names::grant_path) {
-        co_return co_await write_answer(from, take_grant(request, is_late));
+        co_return co_await write_answer(from, take_grant(request, how));
     }
     if (path == names::release_path) {
         auto answer = co_await release(request);
         co_return co_await write_answer(from, std::move(answer));
     }
-    co_return co_await work(from, request, is_late);
+    co_return co_await work(from, request, how.is_late);
 }
 
 auto target::drop_overlap(shard_key first, shard_key last, std::uint64_t most_fence) -> void {
@@ -192,17 +199,28 @@
             continue;
         }
         if (each.first < first) {
-            kept.push_back(
-                {.first = each.first, .last = first - 1, .fence = each.fence, .until = each.until});
+            kept.push_back({.first = each.first,
+                            .last = first - 1,
+                            .fence = each.fence,
+                            .until = each.until,
+                            .late_by = each.late_by,
+                            .read_at = each.read_at,
+                            .is_of_earlier_process = each.is_of_earlier_process});
         }
         if (each.last > last) {
-            kept.push_back({.first = last + 1, .last = each.last, .fence = each.fence, .until = each.until});
+            kept.push_back({.first = last + 1,
+                            .last = each.last,
+                            .fence = each.fence,
+                            .until = each.until,
+                            .late_by = each.late_by,
+                            .read_at = each.read_at,
+                            .is_of_earlier_process = each.is_of_earlier_process});
         }
     }
     m_grants = std::move(kept);
 }
 
-auto target::take_grant(const http_request& request, bool is_late) -> http_response {
+auto target::take_grant(const http_request& request, const reading& how) -> http_response {
     const auto body = json::parse(request.body(), nullptr, false);
     const auto first = body.at("from").get<shard_key>();
     const auto last = body.at("to").get<shard_key>();
@@ -212,8 +230,9 @@
         return json_answer(request, http::status::conflict, "{}");
     }
     std::fill(m_fences.begin() + first, m_fences.begin() + last + 1, fence);
+    const auto first_life = m_fence_lives.emplace(fence, m_life).first->second;
     const auto excused = now < m_group.seen().late_orders_until;
-    if (!excused && !is_late) {
+    if (!excused && !how.is_late) {
         const auto harm = m_group.harm_of_grant(*this, first, last, fence, now);
         if (!harm.empty()) {
             report_broken(m_group.seen(), "one owner",
@@ -229,8 +248,11 @@
                         .last = last,
                         .fence = fence,
                         .until = now + std::chrono::duration_cast<duration>(hold),
-                        .excused = excused || is_late,
-                        .was_taken_late = is_late && !excused});
+                        .excused = excused || how.is_late,
+                        .was_taken_late = how.is_late && !excused,
+                        .late_by = now - how.arrived_at,
+                        .read_at = now,
+                        .is_of_earlier_process = first_life < m_life});
     return json_answer(request, http::status::ok, "{}");
 }
 
@@ -337,14 +359,23 @@
         for (auto right = left + 1; right < m_targets.size(); ++right) {
             const auto& one = *m_targets[left];
             const auto& other = *m_targets[right];
+            if (one.options().service != other.options().service) {
+                continue;
+            }
             const auto pair = std::pair{one.options().id, other.options().id};
-            const auto shared = one.options().service == other.options().service
-                                    ? one.shared_range(other, now)
-                                    : std::nullopt;
+            const auto shared = one.shared_range(other, now);
             if (!shared) {
-                m_overlap_since.erase(pair);
-            } else if (now - m_overlap_since.emplace(pair, now).first->second > longest_overlap) {
-                m_overlap_since[pair] = instant::max(); // Is reported once.
+                const auto over = m_overlaps.find(pair);
+                if (over != m_overlaps.end() && over->second.is_reported) {
+                    tell("over: " + pair.first + " and " + pair.second + " held the same keys for " +
+                         std::to_string((now - over->second.since).count() / 1000) + " ms");
+                }
+                m_overlaps.erase(pair);
+                continue;
+            }
+            auto& current = m_overlaps.emplace(pair, overlap{.since = now}).first->second;
+            if (!current.is_reported && now - current.since > longest_overlap) {
+                current.is_reported = true;
                 report_broken(m_seen, "one owner", pair.first + " and " + pair.second + " hold " + *shared);
             }
         }
@@ -360,9 +391,10 @@
             continue;
         }
         if (each->holds(first, last, now, false)) {
-            harm += " " + other.id + " holds keys of it,";
+            harm += " " + other.id + " holds keys of it" + each->describe_holds(first, last, now) + ",";
         } else if (each->works_on(first, last, now)) {
-            harm += " " + other.id + " still works on a key of it,";
+            harm +=
+                " " + other.id + " still works on a key of it" + each->describe_holds(first, last, now) + ",";
         }
         const auto highest = each->highest_fence(first, last);
         if (highest >= fence) {
--- a/tests/soak/targets.h
+++ b/tests/soak/targets.h
@@ -50,6 +50,8 @@
     auto suspend() -> void { m_is_suspended = true; }
     auto resume() -> void { m_is_suspended = false; }
     auto is_suspended() const -> bool { return m_is_suspended; }
+    /// Until @a until it reads each call only after a delay of its own.
+    auto read_late_until(instant until) -> void { m_reads_late_until = until; }
 
     auto options() const -> const target_options& { return m_options; }
     auto up() const -> bool { return m_up; }
@@ -60,8 +62,10 @@
     /// Whether work on one of these keys goes on within the hold under which it began.
     auto works_on(shard_key first, shard_key last, instant now) const -> bool;
     auto holds(shard_key first, shard_key last, instant now, bool excused_too) const -> bool;
+    /// How it came to hold these keys, for each of its grants.
+    auto describe_holds(shard_key first, shard_key last, instant now) const -> std::string;
     /// A range that it and @a other both hold by their own clocks, if any; what a thawed instance sent late
-    /// does not count, what they took late does.
+    /// does not count, what they took late does. Says how both came to hold it.
     auto shared_range(const target& other, instant now) const -> std::optional<std::string>;
     /// Writes its entry, as its heartbeat does.
     auto announce() -> void;
@@ -73,11 +77,23 @@
         std::uint64_t fence = 0;
         instant until{};
         bool excused = false;        ///< Came just after its sender thawed or its link healed: doesn't count.
-        bool was_taken_late = false; ///< Waited in its sockets while it was suspended.
+        bool was_taken_late = false; ///< Waited in its sockets: it was suspended or read late.
+        duration late_by{};          ///< From its arrival until it was read.
+        instant read_at{};
+        bool is_of_earlier_process = false; ///< An earlier process of the target read this fence first.
+    };
+
+    /// A call as the target reads it.
+    struct reading {
+        instant arrived_at{};
+        bool is_late = false;
     };
 
     auto handle(responder& from, http_request request) -> boost::asio::awaitable<bool>;
-    auto take_grant(const http_request& request, bool is_late) -> http_response;
+    /// The time for which it leaves the next call in its socket.
+    auto draw_read_delay() -> duration;
+    auto describe(const grant& held, instant now) const -> std::string;
+    auto take_grant(const http_request& request, const reading& how) -> http_response;
     auto release(const http_request& request) -> boost::asio::awaitable<http_response>;
     auto work(responder& from, const http_request& request, bool is_late) -> boost::asio::awaitable<bool>;
     auto refusal(const http_request& request, boost::beast::http::status status) -> http_response;
@@ -109,6 +125,9 @@
     std::optional<instant> m_leaving_since;
     bool m_up = false;
     bool m_is_suspended = false;
+    instant m_reads_late_until{};
+    instant m_started_at{};
+    std::map<std::uint64_t, std::uint64_t> m_fence_lives; ///< The life that read each fence first.
 };
 
 /// All targets of a soak, which look out for one another's keys.
@@ -146,7 +165,12 @@
     std::map<std::string, instant> m_out_since; ///< Data centres out of service.
     std::mt19937_64 m_random;
     std::vector<std::unique_ptr<target>> m_targets;
-    std::map<std::pair<std::string, std::string>, instant> m_overlap_since; ///< By the IDs of both.
+    struct overlap {
+        instant since{};
+        bool is_reported = false;
+    };
+
+    std::map<std::pair<std::string, std::string>, overlap> m_overlaps; ///< By the IDs of both.
 };
 
 } // namespace teaselcross::soak
