Soak: name the process that took a grant in the report on two owners

The log's birth of an order tells which process it was meant for; the report had only the age of the process that took it. No check is changed.

--- a/tests/soak/late_reading.cpp
+++ b/tests/soak/late_reading.cpp
@@ -35,7 +35,7 @@
 auto target::describe(const grant& held, instant now) const -> std::string {
     return m_options.id + " read fence " + std::to_string(held.fence) + " " + in_seconds(now - held.read_at) +
            " ago, " + in_seconds(held.late_by) + " after it arrived, in a process of " +
-           in_seconds(held.read_at - m_started_at) +
+           in_seconds(held.read_at - m_started_at) + " born " + std::to_string(m_birth) +
            (held.is_of_earlier_process ? ", and an earlier process had this fence" : "");
 }
 
