Keep the bound of an aborted grant when a renewal is answered

A grant that was aborted unanswered may still be read, and the keys count as held until it has expired. An answered renewal took the call timeout off that bound, although the call that it belonged to had not set it: the keys could go to another target while the holder took the aborted grant.

An answered grant lasts a term from its answer, and otherwise the bound from before the call stays. Found by the exploration of holders.

--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -438,8 +438,7 @@
         }
         if (result == command_result::done) {
             progress.answered_at = now;
-            progress.may_hold_until =
-                std::max(progress.may_hold_until - options.call_timeout, now + longest_term(options));
+            progress.may_hold_until = std::max(progress.previous_may_hold_until, now + longest_term(options));
             state.changed = state.changed || !progress.confirmed;
             progress.confirmed = true;
             progress.next_call_at = range.is_moving() ? now : sent + options.renewal_interval;
