Wait before keys go back to a holder whose recorded move may be replaced

A controller granted a moving range to its destination and was replaced. Its successor gave the range back to the former holder, recorded that, and was replaced as well. The second successor knew only a move from a target to itself, took that for the same holder and granted at once, while the first destination held the keys.

A move to the same holder that an earlier controller recorded waits until all earlier grants have expired. Moves of one's own to the same holder don't. Found by the exploration of holders. Failed before: two_takeovers_during_a_move_make_no_second_holder, which is off the list of known reds.

--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -40,7 +40,9 @@
     if (progress.call_pending) {
         return std::nullopt;
     }
-    if (range.next.id == range.holder.id && !has_other_possible_holder) {
+    // The destination of a move that an earlier controller recorded may have replaced another one.
+    const auto may_have_replaced = !progress.possible_holder.id.empty() && now < state.moves_allowed_from;
+    if (range.next.id == range.holder.id && !has_other_possible_holder && !may_have_replaced) {
         return move_proof::same_holder;
     }
     if (now < state.moves_allowed_from) {
