Build the model of holders with the release preset's warnings

Cause: the compiler reports a bound in std::vector::insert of an initialiser list (-Warray-bounds), which is an error in the preset; it was seen only when the preset's objects were built. Change: the events are appended one by one.

--- a/tests/support/holder_world.cpp
+++ b/tests/support/holder_world.cpp
@@ -294,7 +294,9 @@
         events.push_back(move);
     }
     if (world.budget.faults > 0) {
-        events.insert(events.end(), {restart_a, restart_b, missing_a, missing_b});
+        for (const auto fault : {restart_a, restart_b, missing_a, missing_b}) {
+            events.push_back(fault);
+        }
     }
     if (world.budget.faults > 0 && !world.is_paused) {
         events.push_back(pause);
