--- a/tests/support/holder_explorer.cpp
+++ b/tests/support/holder_explorer.cpp
@@ -84,6 +84,10 @@
             add(each.first, each.last, each.fence, each.next_fence);
             add(each.holder, each.next);
         }
+        add(map.former_holdings.size());
+        for (const auto& each : map.former_holdings) {
+            add(each.holder, each.first, each.last, each.fence);
+        }
     }
 
     instant m_now;
