Count with late reading in what a predecessor's grants may last

A successor waits for the last grants of its predecessor, but not for one that is read late from a target's sockets: a grant was sent, the controller was replaced, and the successor moved the keys by a release that the late grant followed.

max_remaining_hold() has the time for late reading too. Found by the exploration of holders.

--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -252,7 +252,7 @@
 } // namespace
 
 auto max_remaining_hold(const range_grantor_options& options) -> duration {
-    return longest_term(options) + options.call_timeout;
+    return longest_term(options) + options.call_timeout + options.late_reading;
 }
 
 auto take_over(range_grantor& state, key_map map, instant moves_allowed_from, instant now) -> void {
