Count the drain time of a key's owner from when its leaving may have been acknowledged

Cause: an instance sent requests with a key to a leaving owner for 1.2 s from when it learnt of the leaving, however late that was; one that learns 1.3 s late sends beyond the 2.5 s of the rule. Change: each entry brings the last time at which the copy was confirmed without it, as for data centres out of service. The owner gets nothing more once 0.8 of the drain time (1.6 s) has passed since then, and as before not later than 1.2 s after learning. target_leaving logs the age. A removal after the grace of an outage keeps the time too. Result: request_router_test.owner_whose_leaving_may_be_old_gets_nothing_more failed with the router unchanged (200 in place of 503, two requests in place of one) and passes; the tests of cluster_state need the new value. 42 of 42 tests of cluster_state, request_router, refused_instance and store_follower pass.

--- a/src/teaselcross/gateway/cluster_state.cpp
+++ b/src/teaselcross/gateway/cluster_state.cpp
@@ -88,7 +88,7 @@
         return;
     }
     for (const auto& [id, entry] : std::exchange(m_held_back_targets, {})) {
-        put_target(entry.listed, entry.revision, now);
+        put_target(entry.listed, entry.revision, now, entry.not_before);
     }
     for (const auto& data_centre : std::exchange(m_held_back_returns, {})) {
         return_to_service(data_centre, now);
@@ -98,14 +98,24 @@
     }
 }
 
-auto cluster_state::put_target(const listed_target& listed, const store_revision& revision, instant now)
-    -> void {
+/// Records that a target that was in use is leaving, or was removed.
+auto cluster_state::begin_leaving(known_target& known, instant not_before, instant now) -> void {
+    if (known.leaving_since) {
+        return;
+    }
+    known.leaving_since = now;
+    known.leaving_not_before = std::clamp(not_before, now - m_settings.drain, now);
+}
+
+auto cluster_state::put_target(const listed_target& listed, const store_revision& revision, instant now,
+                               instant not_before) -> void {
     const auto age = compare_description(listed);
     if (is_within_restore_grace(now) && age != description_age::present) {
         log::info("target_entry_held_back",
                   {{"target", listed.id}, {"birth", listed.start_time_ms}, {"sequence", listed.sequence}});
         if (age == description_age::earlier) {
-            m_held_back_targets[listed.id] = {.listed = listed, .revision = revision};
+            m_held_back_targets[listed.id] = {
+                .listed = listed, .revision = revision, .not_before = not_before};
         }
         return;
     }
@@ -148,10 +158,15 @@
         return;
     }
     if (listed.leaving && !known->leaving_since) {
-        log::info("target_leaving", {{"target", listed.id}, {"service", listed.service}, {"fresh", is_new}});
+        begin_leaving(*known, not_before, now);
         // A target that is already leaving when first seen may have started to leave long ago, so its drain
         // time counts as over.
         known->leaving_since = is_new ? now - m_settings.drain : now;
+        log::info("target_leaving", {{"target", listed.id},
+                                     {"service", listed.service},
+                                     {"fresh", is_new},
+                                     {"revision", to_string(revision)},
+                                     {"age_at_most_ms", (now - known->leaving_not_before).count() / 1000}});
     } else if (!listed.leaving) {
         known->leaving_since.reset();
     }
@@ -174,7 +189,7 @@
     if (is_known) {
         auto& known = *found->second;
         known.view.listed.leaving = true;
-        known.leaving_since = known.leaving_since.value_or(now);
+        begin_leaving(known, now, now);
         notify_change();
     }
 }
@@ -189,7 +204,8 @@
     return notices;
 }
 
-auto cluster_state::remove_target(const target_id& id, std::optional<duration> grace, instant now) -> void {
+auto cluster_state::remove_target(const target_id& id, std::optional<duration> grace, instant now,
+                                  instant not_before) -> void {
     m_held_back_targets.erase(id);
     const auto found = m_targets.find(id);
     if (found == m_targets.end() || !found->second->listed) {
@@ -200,13 +216,14 @@
         if (!known.missing_until) {
             log::info("target_missing", {{"target", id}, {"wait_ms", grace->count() / 1000}});
             known.missing_until = now + *grace;
+            known.missing_not_before = not_before;
         }
         return;
     }
     log::info("target_gone", {{"target", id}, {"service", known.view.listed.service}});
     known.listed = false;
     known.view.listed.leaving = true;
-    known.leaving_since = known.leaving_since.value_or(now);
+    begin_leaving(known, not_before, now);
     m_departed[id] = {.listed = known.view.listed, .since = now};
     notify_change();
 }
@@ -221,7 +238,7 @@
     }
     for (const auto& id : expired) {
         m_targets.at(id)->missing_until.reset();
-        remove_target(id, std::nullopt, now);
+        remove_target(id, std::nullopt, now, m_targets.at(id)->missing_not_before);
     }
     std::erase_if(m_leaving,
                   [now](const auto& entry) { return now - entry.second.second > leaving_retention; });
--- a/src/teaselcross/gateway/cluster_state.h
+++ b/src/teaselcross/gateway/cluster_state.h
@@ -42,10 +42,13 @@
     target_view view;
     /// When this instance learnt that the target is leaving or was removed.
     std::optional<instant> leaving_since;
+    /// The earliest time at which its leaving or removal may have been acknowledged, if leaving_since is set.
+    instant leaving_not_before{};
     bool listed = true; ///< False after it has been removed from the platform's list.
     /// Set when the entry expired during a store outage; the target is removed if it is still missing then.
     std::optional<instant> missing_until;
-    store_revision revision; ///< Revision of the target's entry in the store.
+    instant missing_not_before{}; ///< The last time at which it was listed, if missing_until is set.
+    store_revision revision;      ///< Revision of the target's entry in the store.
 };
 
 /// A target that said itself that it is leaving, in an answer to a request.
@@ -70,11 +73,15 @@
     /// and the targets write theirs again.
     auto note_era(std::uint64_t era, instant now) -> void;
 
-    /// Adds or updates a target. Ignores entries that are older than the known one.
-    auto put_target(const listed_target& listed, const store_revision& revision, instant now) -> void;
+    /// Adds or updates a target. Ignores entries that are older than the known one. @a not_before is the last
+    /// time at which the entry was not in the store; instant{} if there is none, instant::max() if it is new.
+    auto put_target(const listed_target& listed, const store_revision& revision, instant now,
+                    instant not_before = instant::max()) -> void;
     /// Handles the removal of a target from the list. With a @a grace period it stays in use meanwhile and is
-    /// kept unchanged if it is listed again.
-    auto remove_target(const target_id& id, std::optional<duration> grace, instant now) -> void;
+    /// kept unchanged if it is listed again. @a not_before is the last time at which it was listed, as for
+    /// put_target().
+    auto remove_target(const target_id& id, std::optional<duration> grace, instant now,
+                       instant not_before = instant::max()) -> void;
     /// Removes targets and applies other changes whose grace period is over, and discards targets that were
     /// removed some time ago.
     auto remove_expired(instant now) -> void;
@@ -140,9 +147,11 @@
     struct listed_entry {
         listed_target listed;
         store_revision revision;
+        instant not_before{};
     };
 
     auto notify_change() -> void;
+    auto begin_leaving(known_target& known, instant not_before, instant now) -> void;
     auto is_within_restore_grace(instant now) const -> bool { return now < m_restore_grace_end; }
     auto compare_description(const listed_target& listed) const -> description_age;
     auto apply_held_back(instant now) -> void;
--- a/src/teaselcross/gateway/cluster_state_feed.cpp
+++ b/src/teaselcross/gateway/cluster_state_feed.cpp
@@ -16,7 +16,7 @@
                                        const store_access& store)
     : m_settings{settings}, m_cluster{cluster}, m_store{store} {}
 
-auto cluster_state_feed::apply_target(const store_object& object) -> void {
+auto cluster_state_feed::apply_target(const store_object& object, instant not_before) -> void {
     const auto name = object.key.substr(object.key.find('/') + 1);
     const auto now = monotonic_now();
     m_cluster.note_era(object.version.era, now);
@@ -24,7 +24,7 @@
                                  : platform::parse_target(name, object.value);
     if (parsed) {
         m_reported_faults.erase(object.key);
-        m_cluster.put_target(*parsed, object.version, now);
+        m_cluster.put_target(*parsed, object.version, now, not_before);
         return;
     }
     if (!object.removed && m_reported_faults[object.key] != parsed.error()) {
@@ -33,13 +33,15 @@
     }
     if (object.removed) {
         const auto grace = m_store.outage_grace();
-        m_cluster.remove_target(target_id{name},
-                                grace > duration::zero() ? std::optional{grace} : std::nullopt, now);
+        m_cluster.remove_target(
+            target_id{name}, grace > duration::zero() ? std::optional{grace} : std::nullopt, now, not_before);
     }
 }
 
 auto cluster_state_feed::target_events() -> follower_events {
-    return {.changed = [this](const store_object& object, instant /*not_before*/) { apply_target(object); }};
+    return {.changed = [this](const store_object& object, instant not_before) {
+        apply_target(object, not_before);
+    }};
 }
 
 auto cluster_state_feed::apply_routes(const store_object& object) -> void {
--- a/src/teaselcross/gateway/cluster_state_feed.h
+++ b/src/teaselcross/gateway/cluster_state_feed.h
@@ -31,7 +31,7 @@
     auto instance_events() -> follower_events;
 
 private:
-    auto apply_target(const store_object& object) -> void;
+    auto apply_target(const store_object& object, instant not_before) -> void;
     auto apply_routes(const store_object& object) -> void;
     auto apply_key_map(const store_object& object) -> void;
     auto apply_key_map_changes(const store_object& object, const store_revision& base) -> bool;
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -24,9 +24,9 @@
 /// Requests still go to a key's owner, while its keys are transferred, for this fraction of the time in which
 /// a leaving target may get requests; the rest allows for delayed updates.
 constexpr auto leaving_owner_fraction = 0.6;
-/// The same for an owner in a data centre that was taken out of service. That time counts from the earliest
-/// moment at which the order may have been given, so the rest allows only for the way of the request.
-constexpr auto out_of_service_owner_fraction = 0.8;
+/// The same for the time from the earliest moment at which the target's leaving may have been acknowledged,
+/// or its data centre been taken out of service. The rest then allows only for the way of the request.
+constexpr auto earliest_time_fraction = 0.8;
 /// Cost of a kilobyte from another data centre, expressed as waiting time: traffic between data centres is
 /// expensive.
 constexpr auto cross_data_centre_kilobyte_cost = duration{std::chrono::microseconds{5000}};
@@ -240,7 +240,9 @@
         return since && now > *since + std::chrono::duration_cast<duration>(limit * fraction);
     };
     if (is_over(owner->leaving_since, m_settings.drain, leaving_owner_fraction) ||
-        is_over(out_since, m_settings.evacuation, out_of_service_owner_fraction)) {
+        (owner->leaving_since &&
+         is_over(owner->leaving_not_before, m_settings.drain, earliest_time_fraction)) ||
+        is_over(out_since, m_settings.evacuation, earliest_time_fraction)) {
         return {.reason = refusal::no_owner, .should_wait = true, .retry_after = owner_change_timeout};
     }
     if (const auto reason = check_send(current, view, now)) {
--- a/tests/gateway/cluster_state_test.cpp
+++ b/tests/gateway/cluster_state_test.cpp
@@ -9,6 +9,7 @@
 namespace teaselcross {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr auto start = instant{seconds{100}};
@@ -19,6 +20,10 @@
         return m_cluster.target(target_id{"t"})->leaving_since;
     }
 
+    auto leaving_not_before() const -> instant {
+        return m_cluster.target(target_id{"t"})->leaving_not_before;
+    }
+
     boost::asio::io_context m_context;
     gateway_settings m_settings;
     cluster_state m_cluster{m_settings, m_context.get_executor()};
@@ -38,6 +43,29 @@
     EXPECT_LE(leaving_since(), start - m_settings.drain);
 }
 
+// Guards against requests with a key to a target that left longer ago than the drain time: an instance whose
+// copy was late counted that time from when it learnt of the leaving.
+TEST_F(cluster_state_targets, leaving_may_be_as_old_as_the_last_copy_without_it) {
+    const auto confirmed = start + milliseconds{200};
+    m_cluster.put_target({.id = target_id{"t"}}, {.number = 1}, start, instant{});
+    m_cluster.put_target({.id = target_id{"t"}, .leaving = true}, {.number = 2}, start + seconds{1},
+                         confirmed);
+    EXPECT_EQ(leaving_not_before(), confirmed);
+    m_cluster.remove_target(target_id{"t"}, std::nullopt, start + seconds{2}, start + seconds{2});
+    EXPECT_EQ(leaving_not_before(), confirmed);
+}
+
+// Guards against the same for a target that is removed without a word, at once or after the grace of an
+// outage.
+TEST_F(cluster_state_targets, removal_may_be_as_old_as_the_last_copy_with_the_entry) {
+    const auto confirmed = start + milliseconds{200};
+    m_cluster.put_target({.id = target_id{"t"}}, {.number = 1}, start, instant{});
+    m_cluster.remove_target(target_id{"t"}, seconds{1}, start + seconds{1}, confirmed);
+    m_cluster.remove_expired(start + seconds{2});
+    EXPECT_EQ(leaving_since(), start + seconds{2});
+    EXPECT_EQ(leaving_not_before(), confirmed);
+}
+
 // Guards against a former holder that cannot be asked to release its keys once its entry has lapsed, and
 // against calls to another target that has got its address.
 TEST_F(cluster_state_targets, address_of_a_removed_target_is_known_until_another_process_or_target_has_it) {
--- a/tests/gateway/request_router_test.cpp
+++ b/tests/gateway/request_router_test.cpp
@@ -143,6 +143,34 @@
     EXPECT_EQ(owner.requests(), 1U);
 }
 
+// Guards against requests with a key to a target that left longer ago than the drain time: an instance that
+// learnt of it late went on for the time that one has which learns of it at once.
+TEST_F(request_router_test, owner_whose_leaving_may_be_old_gets_nothing_more) {
+    auto owner = scripted_target{
+        m_context, [](const auto& request) { return scripted_answer{success(request.attempt_id, "owner")}; }};
+    make_keyed("owner");
+    list("owner", owner);
+    EXPECT_EQ(ask("safe", "1", key(7)).result_int(), 200U);
+    auto listed = m_cluster.target(target_id{"owner"})->view.listed;
+    listed.leaving = true;
+    const auto now = monotonic_now();
+    m_cluster.put_target(listed, {.number = 2}, now, now - m_settings.drain * 9 / 10);
+    EXPECT_EQ(ask("safe", "2", key(7)).result_int(), 503U);
+    EXPECT_EQ(owner.requests(), 1U);
+}
+
+TEST_F(request_router_test, owner_that_left_just_now_is_served_until_its_keys_have_moved) {
+    auto owner = scripted_target{
+        m_context, [](const auto& request) { return scripted_answer{success(request.attempt_id, "owner")}; }};
+    make_keyed("owner");
+    list("owner", owner);
+    auto listed = m_cluster.target(target_id{"owner"})->view.listed;
+    listed.leaving = true;
+    const auto now = monotonic_now();
+    m_cluster.put_target(listed, {.number = 2}, now, now - m_settings.drain / 4);
+    EXPECT_EQ(ask("safe", "1", key(7)).result_int(), 200U);
+}
+
 TEST_F(request_router_test, target_that_asks_for_quiet_gets_nothing_until_then) {
     auto busy =
         scripted_target{m_context, [](const auto& request) {
