Take failing reads for an outage only if no other instance is known to be answered

Cause: a read that failed directly and through three other instances counted as an outage of the store. With a third of 82 instances refused that happens by chance (0.35 to the third for each read of a refused one), and relays and comparisons hand the belief to all: removed targets then stay in use for up to two more seconds, of 2.5 that are allowed. Change: the time as of which any copy is confirmed is an answer of the store to somebody. For 1.5 s after the last one failing reads are no outage. Entries lapse after three heartbeats (4.5 s) without one, so not sooner than 3 s after an outage begins. Result: refused_instance.refusals_are_no_outage_while_the_store_is_known_to_answer_another fails without the condition (grace 2,000 ms, wanted 0) and passes with it; four of four tests of refused_instance pass.

--- a/src/teaselcross/gateway/store_access.cpp
+++ b/src/teaselcross/gateway/store_access.cpp
@@ -26,6 +26,9 @@
 /// An instance that does not follow the store itself probes once in this many intervals until it answers.
 constexpr auto unhealthy_probe_rounds = 4U;
 constexpr auto retry_delay = duration{std::chrono::milliseconds{120}};
+/// How long an answer of the store to any instance shows that there is no outage. Entries do not expire
+/// within twice this time after their last renewal.
+constexpr auto answer_validity = duration{std::chrono::milliseconds{1500}};
 /// Instances tried in turn to relay one read; if the store refuses a third of them, one read in 27 fails.
 constexpr auto max_relay_tries = 3U;
 /// How long an instance that failed to relay a read is avoided.
@@ -69,7 +72,9 @@
 }
 
 auto store_access::record_reachable(bool reachable) -> void {
-    if (reachable == m_reachable) {
+    // The store may refuse this instance and those that were asked, and serve others.
+    const auto answers_others = monotonic_now() - m_last_known_answer < answer_validity;
+    if (reachable == m_reachable || (!reachable && answers_others)) {
         return;
     }
     m_reachable = reachable;
@@ -226,6 +231,10 @@
     return std::max(own, relayed);
 }
 
+auto store_access::note_answer(instant as_of) -> void {
+    m_last_known_answer = std::max(m_last_known_answer, as_of);
+}
+
 auto store_access::note_relayed_outage(duration grace) -> void {
     m_relayed_grace_end = std::max(m_relayed_grace_end, monotonic_now() + grace);
 }
--- a/src/teaselcross/gateway/store_access.h
+++ b/src/teaselcross/gateway/store_access.h
@@ -49,6 +49,8 @@
     /// after it recovers. A restore from an older copy counts as an outage. Zero without an outage, and also
     /// while the store refuses this instance but answers others: entries do not expire then.
     auto outage_grace() const -> duration;
+    /// Records that the store answered some instance at @a as_of, so that failing reads are no outage.
+    auto note_answer(instant as_of) -> void;
     /// Records the outage grace of an instance through which this one reads.
     auto note_relayed_outage(duration grace) -> void;
 
@@ -72,6 +74,7 @@
     instant m_reachable_since{};
     instant m_try_directly_from{};
     instant m_relayed_grace_end{};
+    instant m_last_known_answer{}; ///< Of the store to any instance, as far as this one knows.
     std::uint64_t m_outage_count = 0;
     std::uint64_t m_era = 0;
     std::uint64_t m_first_era = 0; ///< The first era that was reported.
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -130,7 +130,10 @@
     auto preferred_instance() const -> const instance_record*;
     auto is_avoided(const std::string& instance) const -> bool;
     auto age() const -> duration;
-    auto set_confirmed(instant as_of) -> void { m_confirmed_at = std::max(m_confirmed_at, as_of); }
+    auto set_confirmed(instant as_of) -> void {
+        m_confirmed_at = std::max(m_confirmed_at, as_of);
+        m_store.note_answer(as_of);
+    }
 
     store_access& m_store;
     cluster_state& m_cluster;
--- a/tests/gateway/refused_instance_test.cpp
+++ b/tests/gateway/refused_instance_test.cpp
@@ -121,7 +121,7 @@
     boost::asio::io_context m_context{1};
     small_store m_script{m_context.get_executor()};
     bool m_is_refused = false;
-    const bool m_is_other_refused = false;
+    bool m_is_other_refused = false;
     http_server m_direct{m_context.get_executor(), {.host = "127.0.0.1"}, [this](auto& link, auto request) {
                              return serve(link, std::move(request), m_is_refused);
                          }};
@@ -181,5 +181,32 @@
     EXPECT_TRUE(run_until([&] { return m_store.is_healthy(); }, seconds{3}));
 }
 
+// Guards against removed targets that stay in use for the grace of an outage: an instance that the store
+// refused, and the three others that it asked, took that for an outage and told the whole fleet.
+TEST_F(refused_instance, refusals_are_no_outage_while_the_store_is_known_to_answer_another) {
+    ASSERT_TRUE(measure_list());
+    m_is_refused = true;
+    m_is_other_refused = true;
+    auto ended = false;
+    boost::asio::co_spawn(
+        m_context,
+        [&]() -> boost::asio::awaitable<void> {
+            auto call = store_call{.kind = store_call_kind::list, .key = kind};
+            const auto reply = co_await m_store.read(std::move(call));
+            EXPECT_EQ(reply.status, store_status::unavailable);
+            ended = true;
+        },
+        boost::asio::detached);
+    EXPECT_TRUE(run_until(
+        [&] {
+            m_follower.confirm({.age = seconds{1}}, monotonic_now());
+            return ended;
+        },
+        seconds{10}));
+    EXPECT_EQ(m_store.outage_grace(), duration::zero());
+    EXPECT_FALSE(measure_list());
+    EXPECT_GT(m_store.outage_grace(), duration::zero()) << "nobody confirms any more";
+}
+
 } // namespace
 } // namespace teaselcross
