--- a/src/teaselcross/gateway/store_access.h
+++ b/src/teaselcross/gateway/store_access.h
@@ -19,9 +19,14 @@
     /// Makes @a call directly to the store.
     auto call_directly(store_call call) -> boost::asio::awaitable<store_reply>;
 
-    /// Reads from the store directly, or through another instance while direct calls fail.
+    /// Reads from the store directly, or through another instance while direct calls fail. A watch that the
+    /// store holds goes on through another instance when the store stops answering.
     auto read(store_call call) -> boost::asio::awaitable<store_reply>;
 
+    /// Finds out whether the store answers this instance, and if not, whether it answers others, by a stale
+    /// read of @a key.
+    auto probe(const std::string& key) -> boost::asio::awaitable<void>;
+
     /// Performs a conditional write until the outcome is known or @a timeout has passed. A write whose answer
     /// was lost is repeated under the same condition and read back: @a is_own_value tells whether an object's
     /// value is the one written.
@@ -44,10 +49,14 @@
     /// after it recovers. A restore from an older copy counts as an outage. Zero without an outage, and also
     /// while the store refuses this instance but answers others: entries do not expire then.
     auto outage_grace() const -> duration;
+    /// Records that the store answered some instance at @a as_of, so that failing reads are no outage.
+    auto note_answer(instant as_of) -> void;
     /// Records the outage grace of an instance through which this one reads.
     auto note_relayed_outage(duration grace) -> void;
 
 private:
+    auto read_directly(store_call call) -> boost::asio::awaitable<store_reply>;
+    auto read_through_others(store_call call) -> boost::asio::awaitable<store_reply>;
     auto record_reachable(bool reachable) -> void;
     auto record_outcome(const store_reply& reply, store_call_kind kind) -> void;
     auto check_era(const store_call& call, store_reply& reply) -> void;
@@ -57,6 +66,7 @@
     const cluster_state& m_cluster;
     const store_protocol& m_dialect;
     connection_pool m_pool;
+    change_signal m_lost; ///< Notified when the store stops answering this instance.
     /// Instances that failed to relay a read, and until when they are avoided.
     std::map<endpoint, instant> m_avoided_relays;
     std::mt19937_64 m_random{std::random_device{}()};
@@ -64,6 +74,7 @@
     instant m_reachable_since{};
     instant m_try_directly_from{};
     instant m_relayed_grace_end{};
+    instant m_last_known_answer{}; ///< Of the store to any instance, as far as this one knows.
     std::uint64_t m_outage_count = 0;
     std::uint64_t m_era = 0;
     std::uint64_t m_first_era = 0; ///< The first era that was reported.
