--- a/tests/gateway/cluster_state_test.cpp
+++ b/tests/gateway/cluster_state_test.cpp
@@ -66,6 +66,25 @@
     EXPECT_EQ(leaving_not_before(), confirmed);
 }
 
+// Guards against requests with a key to a target that left longer ago than the drain time: what another
+// instance said of the leaving came late, and its arrival was taken for the earliest time of the leaving.
+TEST_F(cluster_state_targets, entry_tells_the_age_of_a_leaving_that_was_heard_of_before) {
+    const auto confirmed = start + milliseconds{200};
+    m_cluster.put_target({.id = target_id{"t"}, .start_time_ms = 1}, {.number = 1}, start, instant{});
+    m_cluster.set_leaving({.target = target_id{"t"}, .start_time_ms = 1}, "instance", start + seconds{1});
+    m_cluster.put_target({.id = target_id{"t"}, .leaving = true, .start_time_ms = 1}, {.number = 2},
+                         start + milliseconds{1100}, confirmed);
+    EXPECT_EQ(leaving_not_before(), confirmed);
+}
+
+// Guards against refusing requests to an owner at once because the word of its leaving came before its entry.
+TEST_F(cluster_state_targets, target_that_is_listed_after_the_word_of_its_leaving_has_a_time_of_leaving) {
+    m_cluster.set_leaving({.target = target_id{"t"}, .start_time_ms = 1}, "instance", start);
+    m_cluster.put_target({.id = target_id{"t"}, .start_time_ms = 1}, {.number = 1}, start + seconds{1},
+                         start + seconds{1});
+    EXPECT_GE(leaving_not_before(), start - m_settings.drain);
+}
+
 // Guards against a former holder that cannot be asked to release its keys once its entry has lapsed, and
 // against calls to another target that has got its address.
 TEST_F(cluster_state_targets, address_of_a_removed_target_is_known_until_another_process_or_target_has_it) {
--- a/tests/gateway/holder_calls_test.cpp
+++ b/tests/gateway/holder_calls_test.cpp
@@ -139,6 +139,71 @@
     EXPECT_TRUE(m_peer->has_read(platform::names::grant_path));
 }
 
+/// Reads one call, answers it as a grant, and reads nothing more. A copy of the answer comes a little later.
+auto answer_twice(asio::ip::tcp::acceptor& acceptor) -> asio::awaitable<void> {
+    auto [error, socket] = co_await acceptor.async_accept(as_result);
+    auto part = std::array<char, 4096>{};
+    static_cast<void>(co_await socket.async_read_some(asio::buffer(part), as_result));
+    const auto answer = std::string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    static_cast<void>(co_await asio::async_write(socket, asio::buffer(answer), as_result));
+    auto timer = asio::steady_timer{socket.get_executor(), milliseconds{50}};
+    static_cast<void>(co_await timer.async_wait(as_result));
+    static_cast<void>(co_await asio::async_write(socket, asio::buffer(answer), as_result));
+    timer.expires_after(call_timeout * 3);
+    static_cast<void>(co_await timer.async_wait(as_result));
+}
+
+// Guards against a grant to a target that does not read: a late copy of the answer to an earlier grant was
+// taken for the answer to the probe.
+TEST(holder_calls, late_copy_of_the_answer_to_a_grant_does_not_answer_a_probe) {
+    auto context = asio::io_context{};
+    auto pool = connection_pool{context.get_executor(), {.reset_on_close = true}};
+    auto acceptor = asio::ip::tcp::acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+    asio::co_spawn(context, answer_twice(acceptor), asio::detached);
+    auto call = holder_call{.address = {.host = "127.0.0.1", .port = acceptor.local_endpoint().port()},
+                            .order = {.to = {.id = target_id{"a"}}, .last = 99, .fence = 3},
+                            .timeout = call_timeout,
+                            .may_begin = [] { return true; }};
+    auto given = holder_answer{};
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            given = co_await call_holder(pool, call);
+            EXPECT_EQ(given.result, command_result::done);
+            call.probe = holder_command{
+                .kind = command_kind::release, .to = call.order.to, .first = 100, .last = 100, .fence = 2};
+            given = co_await call_holder(pool, call);
+        },
+        asio::detached);
+    context.run();
+    EXPECT_EQ(given.result, command_result::not_sent);
+}
+
+// Guards against calls of a controller whose right to send orders has ended: a target that got the key
+// meanwhile could be asked to release it.
+TEST(holder_calls, no_probe_is_sent_without_the_right_to_send_orders) {
+    auto context = asio::io_context{};
+    auto pool = connection_pool{context.get_executor(), {.reset_on_close = true}};
+    auto peer = suspended_peer{context, duration::zero()};
+    auto call = holder_call{
+        .address = peer.address(),
+        .order = {.to = {.id = target_id{"a"}}, .last = 99, .fence = 3},
+        .probe = holder_command{.kind = command_kind::release, .to = {.id = target_id{"a"}}, .fence = 2},
+        .timeout = call_timeout,
+        .may_begin = [] { return false; }};
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto given = co_await call_holder(pool, std::move(call));
+            EXPECT_EQ(given.result, command_result::not_sent);
+            peer.stop();
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    EXPECT_FALSE(peer.has_read(platform::names::release_path));
+}
+
 TEST(holder_probe, names_keys_of_another_holder_only) {
     const auto a = target_incarnation{.id = target_id{"a"}};
     const auto b = target_incarnation{.id = target_id{"b"}};
