Ask the replaced destination of a move to release what a predecessor may have granted

Two targets could hold the same keys for up to a term: a controller granted moving keys to a target that did not read, and was replaced; its successor chose another destination, waited for the grants' terms and granted the keys to that one. Only the former holder was asked to release them, never the first destination, whose process may take the aborted grant from its sockets when it goes on. Class: what has reached a socket cannot be taken back.

A destination that an earlier controller recorded is a former holding once it is replaced. It is asked from when moves are allowed, as the earlier controller may grant until then, and is recorded with the new intent for the next successor. A map that was lost with the store still forgets it.

--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -371,6 +371,8 @@
             continue;
         }
         loads[to->incarnation.id] += index < load.size() ? std::max(load[index], 0.1) : 0.1;
+        add_replaced_destination(state.former, range, progress_of(state, range).possible_holder,
+                                 std::max(now, state.moves_allowed_from));
         set_next_holder(state, range, to->incarnation);
         progress_of(state, range).next_call_at = now;
     }
--- a/src/libteaselcross/ownership/stale_grants.cpp
+++ b/src/libteaselcross/ownership/stale_grants.cpp
@@ -83,6 +83,15 @@
                              .watched_until = now + state.options.watch_time});
 }
 
+auto add_replaced_destination(stale_grants& state, const key_range& range,
+                              const target_incarnation& possible_holder, instant now) -> void {
+    if (range.is_moving() && range.next == possible_holder) {
+        add_stale_grant(
+            state,
+            {.first = range.first, .last = range.last, .fence = range.next_fence, .holder = range.next}, now);
+    }
+}
+
 auto resume_stale_grants(stale_grants& state, const std::vector<former_holding>& recorded, instant now)
     -> void {
     state.entries.clear();
--- a/src/libteaselcross/ownership/stale_grants.h
+++ b/src/libteaselcross/ownership/stale_grants.h
@@ -43,6 +43,12 @@
 /// Records that @a range moved away from its holder at @a now without a release.
 auto add_stale_grant(stale_grants& state, const key_range& range, instant now) -> void;
 
+/// Records that @a range gets another destination than @a possible_holder, to which an earlier controller may
+/// have granted it. It is asked from @a now, when that controller grants nothing more. Does nothing if the
+/// present destination was chosen by this controller.
+auto add_replaced_destination(stale_grants& state, const key_range& range,
+                              const target_incarnation& possible_holder, instant now) -> void;
+
 /// Begins with the former holders that an earlier controller has recorded, in place of all earlier entries.
 auto resume_stale_grants(stale_grants& state, const std::vector<former_holding>& recorded, instant now)
     -> void;
