--- a/src/teaselcross/gateway/store_access.cpp
+++ b/src/teaselcross/gateway/store_access.cpp
@@ -4,7 +4,6 @@
 #include "runtime/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -12,8 +11,6 @@
 
 namespace teaselcross {
 
-using namespace boost::asio::experimental::awaitable_operators;
-
 namespace {
 
 /// The store normally answers in about 4 ms.
@@ -44,8 +41,7 @@
 store_access::store_access(const gateway_settings& settings, const cluster_state& cluster,
                            boost::asio::any_io_executor executor, const store_protocol& dialect)
     : m_settings{settings}, m_cluster{cluster}, m_dialect{dialect},
-      m_pool{executor, {.connect_timeout = call_timeout, .user_timeout = call_timeout, .idle_per_peer = 8}},
-      m_lost{executor} {}
+      m_pool{executor, {.connect_timeout = call_timeout, .user_timeout = call_timeout, .idle_per_peer = 8}} {}
 
 auto store_access::record_outcome(const store_reply& reply, store_call_kind kind) -> void {
     const auto now = monotonic_now();
@@ -67,7 +63,6 @@
                                         {"last_answer_ms", (now - m_last_answer).count() / 1000}});
         }
         m_healthy = false;
-        m_lost.notify();
     }
 }
 
@@ -117,22 +112,14 @@
     co_return reply;
 }
 
-auto store_access::read_directly(store_call call) -> boost::asio::awaitable<store_reply> {
-    if (monotonic_now() < m_try_directly_from) {
-        co_return store_reply{};
-    }
-    if (call.kind != store_call_kind::watch) {
-        co_return co_await call_directly(std::move(call));
+auto store_access::read(store_call call) -> boost::asio::awaitable<store_reply> {
+    if (monotonic_now() >= m_try_directly_from) {
+        auto reply = co_await call_directly(call);
+        if (reply.status != store_status::unavailable) {
+            record_reachable(true);
+            co_return reply;
+        }
     }
-    // A store that has become silent would hold the watch until its end.
-    const auto longest = call.wait + 4 * call_timeout; // The call ends before.
-    auto held = call_directly(std::move(call));
-    auto lost = m_lost.wait(longest);
-    auto first = co_await (std::move(held) || std::move(lost));
-    co_return first.index() == 0 ? std::move(std::get<0>(first)) : store_reply{};
-}
-
-auto store_access::read_through_others(store_call call) -> boost::asio::awaitable<store_reply> {
     for (auto tries = 0U; tries < max_relay_tries; ++tries) {
         const auto relay = choose_relay();
         if (!relay) {
@@ -142,39 +129,15 @@
         auto reply = co_await perform_store_call(m_pool, std::move(peer), m_dialect, call, call_timeout);
         check_era(call, reply);
         if (reply.status != store_status::unavailable) {
+            record_reachable(true);
             co_return reply;
         }
         m_avoided_relays[*relay] = monotonic_now() + relay_avoid_time;
     }
+    record_reachable(false);
     co_return store_reply{};
 }
 
-auto store_access::read(store_call call) -> boost::asio::awaitable<store_reply> {
-    // A call to a silent store takes its whole timeout, and probe() notices when the store answers again.
-    const auto asks_others_first = !m_healthy && m_last_answer != instant{};
-    auto reply = store_reply{};
-    if (!asks_others_first) {
-        reply = co_await read_directly(call);
-    }
-    if (reply.status == store_status::unavailable) {
-        reply = co_await read_through_others(call);
-    }
-    if (reply.status == store_status::unavailable && asks_others_first) {
-        reply = co_await read_directly(std::move(call));
-    }
-    record_reachable(reply.status != store_status::unavailable);
-    co_return reply;
-}
-
-auto store_access::probe(const std::string& key) -> boost::asio::awaitable<void> {
-    auto call = store_call{.kind = store_call_kind::get, .key = key, .allow_stale = true};
-    auto reply = co_await call_directly(call);
-    if (reply.status == store_status::unavailable) {
-        reply = co_await read_through_others(std::move(call));
-    }
-    record_reachable(reply.status != store_status::unavailable);
-}
-
 /// Picks an instance to relay a read at random, preferring those that have not failed recently.
 auto store_access::choose_relay() -> std::optional<endpoint> {
     const auto now = monotonic_now();
@@ -248,7 +211,8 @@
         if (!reads_directly() && !is_due) {
             continue; // It learns of an outage from the instance through which it reads.
         }
-        co_await store.probe(key);
+        auto call = store_call{.kind = store_call_kind::get, .key = key, .allow_stale = true};
+        static_cast<void>(co_await store.read(std::move(call)));
     }
 }
 
--- a/src/teaselcross/gateway/store_access.h
+++ b/src/teaselcross/gateway/store_access.h
@@ -19,14 +19,9 @@
     /// Makes @a call directly to the store.
     auto call_directly(store_call call) -> boost::asio::awaitable<store_reply>;
 
-    /// Reads from the store directly, or through another instance while direct calls fail. A watch that the
-    /// store holds goes on through another instance when the store stops answering.
+    /// Reads from the store directly, or through another instance while direct calls fail.
     auto read(store_call call) -> boost::asio::awaitable<store_reply>;
 
-    /// Finds out whether the store answers this instance, and if not, whether it answers others, by a stale
-    /// read of @a key.
-    auto probe(const std::string& key) -> boost::asio::awaitable<void>;
-
     /// Performs a conditional write until the outcome is known or @a timeout has passed. A write whose answer
     /// was lost is repeated under the same condition and read back: @a is_own_value tells whether an object's
     /// value is the one written.
@@ -55,8 +50,6 @@
     auto note_relayed_outage(duration grace) -> void;
 
 private:
-    auto read_directly(store_call call) -> boost::asio::awaitable<store_reply>;
-    auto read_through_others(store_call call) -> boost::asio::awaitable<store_reply>;
     auto record_reachable(bool reachable) -> void;
     auto record_outcome(const store_reply& reply, store_call_kind kind) -> void;
     auto check_era(const store_call& call, store_reply& reply) -> void;
@@ -66,7 +59,6 @@
     const cluster_state& m_cluster;
     const store_protocol& m_dialect;
     connection_pool m_pool;
-    change_signal m_lost; ///< Notified when the store stops answering this instance.
     /// Instances that failed to relay a read, and until when they are avoided.
     std::map<endpoint, instant> m_avoided_relays;
     std::mt19937_64 m_random{std::random_device{}()};
