--- a/tests/gateway/cluster_state_test.cpp
+++ b/tests/gateway/cluster_state_test.cpp
@@ -55,7 +55,7 @@
     EXPECT_EQ(leaving_not_before(), confirmed);
 }
 
-// Guards against the same for a target that is removed without a word, at once or after the grace of an
+// Guards against the same for a target that is removed unannounced, at once or after the grace of an
 // outage.
 TEST_F(cluster_state_targets, removal_may_be_as_old_as_the_last_copy_with_the_entry) {
     const auto confirmed = start + milliseconds{200};
--- a/tests/gateway/refused_instance_test.cpp
+++ b/tests/gateway/refused_instance_test.cpp
@@ -182,7 +182,7 @@
 }
 
 // Guards against removed targets that stay in use for the grace of an outage: an instance that the store
-// refused, and the three others that it asked, took that for an outage and told the whole fleet.
+// refused, and the three others that it asked, took that for an outage and announced it.
 TEST_F(refused_instance, refusals_are_no_outage_while_the_store_is_known_to_answer_another) {
     ASSERT_TRUE(measure_list());
     m_is_refused = true;
