Soak: cut data centres, long reading delays and orders that are carried out late

The bounds come from the platform's pages, none from a constant of the program. Earlier seeds stay as they are.

--- a/tests/soak/late_reading.cpp
+++ b/tests/soak/late_reading.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr auto longest_read_delay = duration{std::chrono::milliseconds{1500}};
 constexpr auto late_share = 3U; ///< One in so many of the targets that hold keys reads late in a spell.
 
 auto draw(std::mt19937_64& random, double least, double most) -> duration {
@@ -29,7 +30,15 @@
 } // namespace
 
 auto target::draw_read_delay() -> duration {
-    return monotonic_now() < m_reads_late_until ? draw(m_group.random(), 0.05, 1.5) : duration::zero();
+    const auto most = std::chrono::duration<double>(m_longest_read_delay).count();
+    return monotonic_now() < m_reads_late_until ? draw(m_group.random(), 0.05, most) : duration::zero();
+}
+
+auto target::draw_order_delay() -> std::optional<duration> {
+    constexpr auto share = 0.3;
+    const auto is_chosen = monotonic_now() < m_carries_out_late_until &&
+                           std::uniform_real_distribution<double>{}(m_group.random()) < share;
+    return is_chosen ? std::optional{draw(m_group.random(), 2, std::chrono::duration<double>(most_carried_out_late).count())} : std::nullopt;
 }
 
 auto target::describe(const grant& held, instant now) const -> std::string {
@@ -50,9 +59,11 @@
 }
 
 auto soak::late_reading(instant until) -> asio::awaitable<void> {
-    if (m_options.seed < first_seed_with_late_reading) {
+    const auto has_long = m_options.seed >= first_seed_with_long_delays;
+    if (m_options.seed < first_seed_with_late_reading || (has_long && !has_long_delays(delay_kind::late_reading))) {
         co_return;
     }
+    const auto longest = has_long ? most_carried_out_late : longest_read_delay;
     while (monotonic_now() < until) {
         begin_fault();
         const auto length = draw(m_pause_random, 2, 6);
@@ -60,7 +71,7 @@
         for (std::size_t index = 0; index < m_targets.all().size(); index += 3) { // Those that hold keys.
             if (m_pause_random() % late_share == 0) {
                 auto& chosen = *m_targets.all()[index];
-                chosen.read_late_until(monotonic_now() + length);
+                chosen.read_late_until(monotonic_now() + length, longest);
                 names += " " + chosen.options().id;
             }
         }
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -55,9 +55,10 @@
     asio::co_spawn(m_context, accept(), asio::detached);
 }
 
-auto proxy::set(link_mode mode, duration delay) -> void {
+auto proxy::set(link_mode mode, duration delay, duration backlog) -> void {
     m_mode = mode;
     m_delay = delay;
+    m_backlog = backlog;
     if (mode == link_mode::reset) {
         for (const auto& each : m_sessions) {
             reset(each->caller);
@@ -97,15 +98,22 @@
     auto ignored = boost::system::error_code{};
     while (true) {
         const auto [error, size] = co_await from.async_read_some(asio::buffer(bytes), as_result);
-        while (m_mode == link_mode::silent || (m_mode == link_mode::one_way && !to_target)) {
+        const auto was_held = m_mode == link_mode::held;
+        while (m_mode == link_mode::silent || m_mode == link_mode::held ||
+               (m_mode == link_mode::one_way && !to_target)) {
             timer.expires_after(blocked_poll);
             co_await timer.async_wait(as_result);
             // Bytes that a partition holds up are lost when their sender resets the connection.
-            if (from.is_open() && was_reset(from)) {
+            if (m_mode != link_mode::held && !was_held && from.is_open() && was_reset(from)) {
                 reset(from);
                 reset(to);
             }
         }
+        if (was_held && m_backlog > duration::zero()) {
+            timer.expires_after(duration{static_cast<duration::rep>(
+                m_random() % static_cast<std::uint64_t>(m_backlog.count()))});
+            co_await timer.async_wait(as_result);
+        }
         if (error == asio::error::eof) {
             to.shutdown(tcp::socket::shutdown_send, ignored);
             break;
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <memory>
+#include <random>
 #include <set>
 
 namespace teaselcross::soak {
@@ -17,6 +18,7 @@
     silent,  ///< Nothing passes, and nothing is closed.
     one_way, ///< Requests pass, answers do not.
     reset,   ///< Connections are reset, new ones too.
+    held,    ///< As silent, but what is held up passes later, also if its sender has reset the connection.
 };
 
 /// Forwards the connections that it accepts to one address. Belongs to the event loop's thread.
@@ -25,8 +27,9 @@
     proxy(boost::asio::io_context& context, endpoint from, endpoint to);
 
     auto start() -> void;
-    /// Applies to connections that exist, too.
-    auto set(link_mode mode, duration delay = {}) -> void;
+    /// Applies to connections that exist, too. What is held up passes at a time of its own within @a backlog
+    /// after the link has healed.
+    auto set(link_mode mode, duration delay = {}, duration backlog = {}) -> void;
 
 private:
     struct session;
@@ -40,6 +43,8 @@
     std::set<std::shared_ptr<session>> m_sessions;
     link_mode m_mode = link_mode::open;
     duration m_delay{};
+    duration m_backlog{};
+    std::minstd_rand m_random; ///< Draws the times within the backlog.
 };
 
 } // namespace teaselcross::soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -228,6 +228,8 @@
     spawn(m_context, restores(until));
     spawn(m_context, suspensions(until));
     spawn(m_context, late_reading(until));
+    spawn(m_context, cuts(until));
+    spawn(m_context, late_orders(until));
     spawn(m_context, watch_owners());
     while (monotonic_now() < until) {
         spawn(m_context, series(static_cast<int>(m_random() % kinds)));
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,6 +27,12 @@
 constexpr auto first_seed_with_suspensions = std::uint64_t{2000};
 /// From here on targets read late and are not suspended.
 constexpr auto first_seed_with_late_reading = std::uint64_t{3000};
+/// From here on delays are those of the platform's pages and of nobody's constants. By the remainder of the seed
+/// by four: data centres are cut off, targets read late, orders are carried out late, or all of it.
+constexpr auto first_seed_with_long_delays = std::uint64_t{4000};
+enum class delay_kind : std::uint64_t { cut_off, late_reading, late_orders, all };
+/// Orders that get no answer are carried out so much later, by the platform's pages.
+constexpr auto most_carried_out_late = duration{std::chrono::seconds{12}};
 constexpr auto drain_bound = duration{std::chrono::seconds{2}};
 /// By index of an instance or a target, in turn.
 constexpr auto data_centres = std::array<const char*, 2>{"west", "east"};
@@ -100,6 +106,12 @@
     auto suspend_target(target& chosen, duration length) -> boost::asio::awaitable<void>;
     /// Spells in which a share of the targets that hold keys read late.
     auto late_reading(instant until) -> boost::asio::awaitable<void>;
+    /// Cuts off the targets of a data centre; what was held up arrives after the cut has healed.
+    auto cuts(instant until) -> boost::asio::awaitable<void>;
+    /// Spells in which targets leave a share of the orders unanswered and carry them out late.
+    auto late_orders(instant until) -> boost::asio::awaitable<void>;
+    /// Whether the seed has delays of @a kind that no constant of the program bounds.
+    auto has_long_delays(delay_kind kind) const -> bool;
     auto watch_owners() -> boost::asio::awaitable<void>;
     auto restores(instant until) -> boost::asio::awaitable<void>;
     auto restore_store() -> boost::asio::awaitable<void>;
--- a/tests/soak/targets.cpp
+++ b/tests/soak/targets.cpp
@@ -165,8 +165,7 @@
 auto target::handle(responder& from, http_request request) -> asio::awaitable<bool> {
     const auto life = m_life;
     const auto delay = draw_read_delay();
-    const auto how =
-        reading{.arrived_at = monotonic_now(), .is_late = m_is_suspended || delay > duration::zero()};
+    auto how = reading{.arrived_at = monotonic_now(), .is_late = m_is_suspended || delay > duration::zero()};
     if (delay > duration::zero()) {
         co_await pause(m_group.context(), delay);
     }
@@ -181,6 +180,18 @@
         co_return co_await write_answer(from, refusal(request, http::status::misdirected_request));
     }
     const auto path = std::string{request.target()};
+    const auto is_order = path == names::grant_path || path == names::release_path;
+    const auto carried_out_after = is_order ? draw_order_delay() : std::nullopt;
+    if (carried_out_after) {
+        how.is_late = how.is_carried_out_late = true;
+        co_await pause(m_group.context(), *carried_out_after);
+        if (m_up && m_life == life && path == names::grant_path) {
+            take_grant(request, how);
+        } else if (m_up && m_life == life) {
+            static_cast<void>(co_await release(request));
+        }
+        co_return false;
+    }
     if (path == names::grant_path) {
         co_return co_await write_answer(from, take_grant(request, how));
     }
@@ -247,7 +258,8 @@
     m_grants.push_back({.first = first,
                         .last = last,
                         .fence = fence,
-                        .until = now + std::chrono::duration_cast<duration>(hold),
+                        .until = (how.is_carried_out_late ? how.arrived_at : now) +
+                                 std::chrono::duration_cast<duration>(hold),
                         .excused = excused || how.is_late,
                         .was_taken_late = how.is_late && !excused,
                         .late_by = now - how.arrived_at,
--- a/tests/soak/targets.h
+++ b/tests/soak/targets.h
@@ -50,8 +50,13 @@
     auto suspend() -> void { m_is_suspended = true; }
     auto resume() -> void { m_is_suspended = false; }
     auto is_suspended() const -> bool { return m_is_suspended; }
-    /// Until @a until it reads each call only after a delay of its own.
-    auto read_late_until(instant until) -> void { m_reads_late_until = until; }
+    /// Until @a until it reads each call only after a delay of its own, of @a longest at the most.
+    auto read_late_until(instant until, duration longest) -> void {
+        m_reads_late_until = until;
+        m_longest_read_delay = longest;
+    }
+    /// Until @a until it leaves a share of the orders unanswered and carries them out late.
+    auto carry_out_late_until(instant until) -> void { m_carries_out_late_until = until; }
 
     auto options() const -> const target_options& { return m_options; }
     auto up() const -> bool { return m_up; }
@@ -87,11 +92,14 @@
     struct reading {
         instant arrived_at{};
         bool is_late = false;
+        bool is_carried_out_late = false; ///< The term of a grant still counts from its arrival.
     };
 
     auto handle(responder& from, http_request request) -> boost::asio::awaitable<bool>;
     /// The time for which it leaves the next call in its socket.
     auto draw_read_delay() -> duration;
+    /// The time after which it carries out the next order without an answer, if it does.
+    auto draw_order_delay() -> std::optional<duration>;
     auto describe(const grant& held, instant now) const -> std::string;
     auto take_grant(const http_request& request, const reading& how) -> http_response;
     auto release(const http_request& request) -> boost::asio::awaitable<http_response>;
@@ -126,6 +134,8 @@
     bool m_up = false;
     bool m_is_suspended = false;
     instant m_reads_late_until{};
+    duration m_longest_read_delay{};
+    instant m_carries_out_late_until{};
     instant m_started_at{};
     std::map<std::uint64_t, std::uint64_t> m_fence_lives; ///< The life that read each fence first.
 };
