Listen on for the answer to an overdue grant, and log it and late ticks

What was missing to tell the hypotheses apart: a grant's connection was closed at its time limit, so the answer that says when the target read it was thrown away; nothing told that the controller itself was late. The connection stays open now, `overdue_answer` logs the answer or its end, `controller_late` a tick that is over 250 ms late.

--- a/src/libteaselcross/ownership/holder_command.h
+++ b/src/libteaselcross/ownership/holder_command.h
@@ -33,13 +33,21 @@
     std::uint64_t fence = 0;
     duration term{};
     std::string handover;
+    std::uint64_t call = 0;              ///< Identifies the call, once it is made.
     bool is_first = false;               ///< The holder has not acknowledged a grant with this fence before.
     target_incarnation earlier_holder;   ///< Before this holder, if there was one.
     instant earlier_answered_at{};       ///< When that one last acknowledged a grant, if it did.
     move_proof proof = move_proof::none; ///< Why this holder could get the keys.
 };
 
-enum class command_result { done, refused, unanswered, not_sent };
-constexpr enum_table<command_result, 4> command_result_names{"done", "refused", "unanswered", "not_sent"};
+enum class command_result {
+    done,
+    refused,
+    unanswered, ///< The call was aborted or its connection ended; the target may still carry it out.
+    not_sent,
+    overdue, ///< Not answered within its time limit; the answer is still awaited on the connection.
+};
+constexpr enum_table<command_result, 5> command_result_names{"done", "refused", "unanswered", "not_sent",
+                                                             "overdue"};
 
 } // namespace teaselcross
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -20,6 +20,13 @@
 namespace http = boost::beast::http;
 using json = nlohmann::json;
 
+namespace {
+
+/// Ticks that are later than this are logged: the process had no processor time, or the machine was suspended.
+constexpr auto late_tick = duration{std::chrono::milliseconds{250}};
+
+} // namespace
+
 controller::controller(const gateway_settings& settings, cluster_state& cluster, store_access& store,
                        request_router& router, metrics& measured, asio::any_io_executor executor,
                        std::uint64_t start_time_ms)
@@ -121,8 +128,12 @@
 auto controller::control() -> asio::awaitable<void> {
     m_term_start = monotonic_now();
     auto next_sample = m_term_start;
+    auto next_tick = m_term_start;
     while (m_is_controller && !m_stopping) {
         const auto now = monotonic_now();
+        if (now - next_tick > late_tick) {
+            log::warning("controller_late", {{"term", m_term}, {"ms", (now - next_tick).count() / 1000}});
+        }
         if (now >= m_next_renewal && !m_renewing) {
             m_next_renewal = now + m_options.lease.renewal_interval;
             asio::co_spawn(m_executor, renew_lease(), asio::detached);
@@ -149,6 +160,7 @@
             tick(monotonic_now());
             settle_lease(monotonic_now());
         }
+        next_tick = monotonic_now() + m_options.tick_interval;
         co_await sleep_for(m_options.tick_interval);
     }
 }
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -5,6 +5,7 @@
 
 #include "balance/range_balance.h"
 #include "gateway/cluster_state.h"
+#include "gateway/holder_calls.h"
 #include "gateway/replica_messages.h"
 #include "gateway/request_router.h"
 #include "gateway/store_access.h"
@@ -116,6 +117,10 @@
     struct target_speed {
         double service_us = 0;
     };
+    struct overdue_grant {
+        target_id target;
+        std::shared_ptr<grant_exchange> exchange;
+    };
 
     auto self() const -> instance_id;
     auto make_grant_options() const -> range_grantor_options;
@@ -153,6 +158,11 @@
     auto balance(const service_id& service, service_control& state, instant now) -> void;
     auto execute_order(service_id service, holder_command order, std::uint64_t term)
         -> boost::asio::awaitable<void>;
+    /// Grants to @a target whose answers are awaited beyond their time limit.
+    auto count_overdue_grants(const target_id& target) const -> std::size_t;
+    auto await_overdue_grant(service_id service, holder_command order, holder_answer answer)
+        -> boost::asio::awaitable<void>;
+    auto abort_overdue_grants() -> void;
     auto write_key_map(service_id service, key_map map, std::uint64_t term) -> boost::asio::awaitable<void>;
     auto renew_lease() -> boost::asio::awaitable<void>;
     auto send_report() -> boost::asio::awaitable<void>;
@@ -179,6 +189,8 @@
     std::uint64_t m_era = 0;  ///< Era of the store in which the lease of the current term was last written.
     std::uint64_t m_term = 0; ///< Number of terms that this process started; identifies the current one.
     std::uint32_t m_grants_in_flight = 0;
+    std::uint64_t m_calls = 0;                               ///< Orders so far, to identify each.
+    std::map<std::uint64_t, overdue_grant> m_overdue_grants; ///< By call, of the current term.
     instant m_last_renewal{};                ///< Start of the last successful write of the lease.
     report_times m_reports;                  ///< Of the instances that report to this one.
     report_stamp m_stamp;                    ///< Of the holder's last answer to this instance.
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselcross {
 
@@ -33,6 +34,27 @@
 /// Renewals that take longer are logged although they were answered.
 constexpr auto slow_answer = duration{std::chrono::milliseconds{250}};
 
+/// How long the answer to a grant is awaited in all. A target that was suspended may answer long after the
+/// time limit of the call.
+constexpr auto overdue_limit = duration{std::chrono::seconds{60}};
+/// Grants to one target whose answers are awaited beyond their time limit. More are aborted.
+constexpr auto max_overdue_grants = std::size_t{8};
+
+/// Logs the answer to a grant that came after the time limit of the call, or that there will be none.
+/// @a is_awaited: the term in which it was sent goes on.
+auto log_overdue_answer(const service_id& service, const holder_command& order, command_result result,
+                        instant sent, instant now, bool is_awaited) -> void {
+    log::info("overdue_answer", {{"service", service},
+                                 {"target", order.to.id},
+                                 {"birth", order.to.start_time_ms},
+                                 {"first", order.first},
+                                 {"last", order.last},
+                                 {"fence", order.fence},
+                                 {"result", name_in(command_result_names, result)},
+                                 {"awaited", is_awaited},
+                                 {"ms", (now - sent).count() / 1000}});
+}
+
 /// Logs an order, but for renewals that were answered in time. A first grant names the earlier holder, and
 /// how long ago that one last acknowledged a grant; -1 if it did not.
 auto log_order(const service_id& service, const holder_command& order, command_result result, instant sent,
@@ -241,6 +263,7 @@
 
 auto controller::execute_order(service_id service, holder_command order, std::uint64_t term)
     -> asio::awaitable<void> {
+    order.call = ++m_calls;
     const auto is_grant = order.kind == command_kind::grant; // A late release makes nobody a holder.
     const auto limits = make_grant_options();
     const auto known = m_services.find(service);
@@ -254,11 +277,14 @@
         if (is_grant) {
             call.probe = make_probe(known->second.grantor.map, order);
         }
-        call.may_begin = [this, term, is_grant, &is_begun] {
-            is_begun = m_term == term && may_send_orders(monotonic_now());
-            m_grants_in_flight += is_grant && is_begun ? 1U : 0U;
-            return is_begun;
+        call.may_begin = [this, term] { return m_term == term && may_send_orders(monotonic_now()); };
+        call.on_begin = [this, is_grant, &is_begun] {
+            is_begun = true;
+            m_grants_in_flight += is_grant ? 1U : 0U;
         };
+        if (is_grant && count_overdue_grants(order.to.id) < max_overdue_grants) {
+            call.reading_limit = overdue_limit;
+        }
         answer = co_await call_holder(m_order_pool, std::move(call));
     }
     m_grants_in_flight -= is_grant && is_begun ? 1U : 0U;
@@ -269,12 +295,42 @@
     const auto found = m_services.find(service);
     if (m_term == term && found != m_services.end()) {
         on_command_finished(found->second.grantor, order, answer.result, answer.handover, answer.sent, now);
+        if (answer.overdue) {
+            asio::co_spawn(m_executor,
+                           await_overdue_grant(std::move(service), std::move(order), std::move(answer)),
+                           asio::detached);
+        }
     } else if (m_is_controller && is_grant && answer.result != command_result::not_sent) {
         // An order of an earlier term of this process has ended only now.
         set_earliest_move(std::max(m_earliest_move, now + max_remaining_hold(limits)));
     }
 }
 
+auto controller::count_overdue_grants(const target_id& target) const -> std::size_t {
+    return static_cast<std::size_t>(
+        std::count_if(m_overdue_grants.begin(), m_overdue_grants.end(),
+                      [&target](const auto& each) { return each.second.target == target; }));
+}
+
+/// Waits for the answer to a grant whose time limit has passed, until the term ends.
+auto controller::await_overdue_grant(service_id service, holder_command order, holder_answer answer)
+    -> asio::awaitable<void> {
+    const auto exchange = std::move(answer.overdue);
+    m_overdue_grants[order.call] = {.target = order.to.id, .exchange = exchange};
+    co_await exchange->wait(answer.sent + 2 * overdue_limit);
+    const auto now = monotonic_now();
+    const auto result = exchange->result();
+    const auto is_awaited = m_overdue_grants.erase(order.call) > 0;
+    log_overdue_answer(service, order, result, answer.sent, now, is_awaited);
+    exchange->release_to(m_order_pool);
+}
+
+auto controller::abort_overdue_grants() -> void {
+    for (const auto& [call, each] : std::exchange(m_overdue_grants, {})) {
+        each.exchange->abort();
+    }
+}
+
 auto controller::write_key_map(service_id service, key_map map, std::uint64_t term) -> asio::awaitable<void> {
     const auto call =
         store_call{.kind = map.revision.number == 0 ? store_call_kind::create : store_call_kind::update,
--- a/src/teaselcross/gateway/controller_lease.cpp
+++ b/src/teaselcross/gateway/controller_lease.cpp
@@ -339,6 +339,7 @@
     }
     log::info("controller_ended", {{"term", m_term}, {"reason", reason}});
     m_is_controller = false;
+    abort_overdue_grants();
     m_last_holder_answer = {};
     m_lease.held_until.reset();
 }
--- a/src/teaselcross/gateway/holder_calls.cpp
+++ b/src/teaselcross/gateway/holder_calls.cpp
@@ -4,6 +4,11 @@
 #include "platform/messages.h"
 #include "runtime/clock.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace teaselcross {
@@ -13,6 +18,10 @@
 
 namespace {
 
+auto reading_limits(duration limit) -> exchange_limits {
+    return {.answer_timeout = limit, .stall_timeout = limit, .buffer_timeout = limit};
+}
+
 /// Sends @a order on @a opened and reads the answer, until @a deadline. Returns false, and closes the
 /// connection, if there is none.
 auto exchange(open_answer& opened, const holder_command& order, const std::string& host, instant deadline)
@@ -22,9 +31,7 @@
     const auto is_sent = co_await send_request(opened, request, time_left());
     auto is_received = false;
     if (is_sent) {
-        const auto left = time_left();
-        const auto limits =
-            exchange_limits{.answer_timeout = left, .stall_timeout = left, .buffer_timeout = left};
+        const auto limits = reading_limits(time_left());
         is_received = co_await receive_answer(opened, false, limits);
     }
     if (!is_received) {
@@ -55,8 +62,93 @@
     co_return status != http::status::misdirected_request;
 }
 
+auto call_for_release(open_answer opened, const holder_call& call, holder_answer answer)
+    -> asio::awaitable<holder_answer> {
+    const auto is_received =
+        co_await exchange(opened, call.order, call.address.host, answer.sent + call.timeout);
+    answer.result = command_result::unanswered;
+    if (is_received) {
+        const auto response = http_response{opened.header()};
+        answer.result = platform::read_order_answer(call.order, response, answer.handover);
+    }
+    co_return answer;
+}
+
+auto call_for_grant(connection_pool& pool, open_answer opened, const holder_call& call, holder_answer answer)
+    -> asio::awaitable<holder_answer> {
+    auto grant = std::make_shared<grant_exchange>(std::move(opened), call.order, call.address.host);
+    const auto is_sent =
+        co_await grant_exchange::begin(grant, call.timeout, std::max(call.timeout, call.reading_limit));
+    answer.result = command_result::unanswered;
+    if (!is_sent) {
+        co_return answer;
+    }
+    co_await grant->wait(answer.sent + call.timeout);
+    if (grant->has_ended()) {
+        answer.result = grant->result();
+        grant->release_to(pool);
+    } else if (call.reading_limit > call.timeout) {
+        answer.result = command_result::overdue;
+        answer.overdue = std::move(grant);
+    } else {
+        grant->abort();
+    }
+    co_return answer;
+}
+
 } // namespace
 
+grant_exchange::grant_exchange(open_answer opened, holder_command grant, std::string host)
+    : m_opened{std::move(opened)}, m_grant{std::move(grant)}, m_host{std::move(host)},
+      m_end{m_opened.client_connection->stream.get_executor(), asio::steady_timer::time_point::max()} {}
+
+auto grant_exchange::begin(std::shared_ptr<grant_exchange> self, duration timeout, duration reading_limit)
+    -> asio::awaitable<bool> {
+    const auto request = platform::make_order(self->m_grant, self->m_host);
+    const auto is_sent = co_await send_request(self->m_opened, request, timeout);
+    if (!is_sent) {
+        self->abort();
+        co_return false;
+    }
+    const auto executor = self->m_end.get_executor();
+    asio::co_spawn(executor, read(std::move(self), reading_limit), asio::detached);
+    co_return true;
+}
+
+auto grant_exchange::read(std::shared_ptr<grant_exchange> self, duration limit) -> asio::awaitable<void> {
+    const auto limits = reading_limits(limit);
+    self->m_is_received = co_await receive_answer(self->m_opened, false, limits);
+    self->m_has_ended = true;
+    self->m_end.cancel();
+}
+
+auto grant_exchange::wait(instant until) -> asio::awaitable<void> {
+    if (!m_has_ended) {
+        m_end.expires_after(until - monotonic_now());
+        static_cast<void>(co_await m_end.async_wait(asio::as_tuple(asio::use_awaitable)));
+    }
+}
+
+auto grant_exchange::abort() -> void {
+    abort_exchange(m_opened);
+}
+
+auto grant_exchange::result() const -> command_result {
+    if (!m_is_received) {
+        return command_result::unanswered;
+    }
+    auto ignored = std::string{};
+    return platform::read_order_answer(m_grant, http_response{m_opened.header()}, ignored);
+}
+
+auto grant_exchange::release_to(connection_pool& pool) -> void {
+    if (m_is_received) {
+        end_exchange(pool, std::move(m_opened));
+    } else {
+        abort();
+    }
+}
+
 auto call_holder(connection_pool& pool, holder_call call) -> asio::awaitable<holder_answer> {
     auto answer = holder_answer{.sent = monotonic_now()};
     if (call.probe) {
@@ -76,16 +168,13 @@
     if (!opened || !call.may_begin()) {
         co_return answer;
     }
-    const auto is_received =
-        co_await exchange(*opened, call.order, call.address.host, answer.sent + call.timeout);
-    if (!is_received) {
-        answer.result = command_result::unanswered;
-        co_return answer;
+    if (call.on_begin) {
+        call.on_begin();
     }
-    const auto response = http_response{opened->header()};
-    answer.result = platform::read_order_answer(call.order, response, answer.handover);
     if (is_grant) {
-        end_exchange(pool, std::move(*opened));
+        answer = co_await call_for_grant(pool, std::move(*opened), call, std::move(answer));
+    } else {
+        answer = co_await call_for_release(std::move(*opened), call, std::move(answer));
     }
     co_return answer;
 }
--- a/src/teaselcross/gateway/holder_calls.h
+++ b/src/teaselcross/gateway/holder_calls.h
@@ -5,15 +5,53 @@
 #include "http/exchange.h"
 #include "ownership/holder_command.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace teaselcross {
 
+/// A grant on its connection, whose answer is read even if it comes after the time limit of the call: the
+/// answer tells that the target has read the grant. Not thread safe.
+class grant_exchange {
+public:
+    grant_exchange(open_answer opened, holder_command grant, std::string host);
+
+    /// Sends the grant and begins to read the answer. Returns false if the grant could not be sent within
+    /// @a timeout; the target may then have received it in part. @a reading_limit ends the reading.
+    static auto begin(std::shared_ptr<grant_exchange> self, duration timeout, duration reading_limit)
+        -> boost::asio::awaitable<bool>;
+    /// Waits until the answer was read, the connection has ended or @a until has passed.
+    auto wait(instant until) -> boost::asio::awaitable<void>;
+    /// Closes the connection, which ends the reading.
+    auto abort() -> void;
+
+    auto has_ended() const -> bool { return m_has_ended; }
+    /// What the answer says; `unanswered` if the connection has ended without one.
+    /// @pre has_ended()
+    auto result() const -> command_result;
+    /// Returns the connection to @a pool if it can be used again.
+    /// @pre has_ended()
+    auto release_to(connection_pool& pool) -> void;
+
+private:
+    static auto read(std::shared_ptr<grant_exchange> self, duration limit) -> boost::asio::awaitable<void>;
+
+    open_answer m_opened;
+    holder_command m_grant;
+    std::string m_host;
+    boost::asio::steady_timer m_end; ///< Cancelled when the reading has ended.
+    bool m_has_ended = false;
+    bool m_is_received = false;
+};
+
 struct holder_answer {
     command_result result = command_result::not_sent;
     std::string handover; ///< Of a release that was acknowledged.
     instant sent{};       ///< When the order was sent, or was to be sent.
+    std::shared_ptr<grant_exchange> overdue; ///< If the result is `overdue`.
 };
 
 struct holder_call {
@@ -22,12 +60,16 @@
     /// Sent before the order, which is not sent unless it is answered. It must have no effect.
     std::optional<holder_command> probe;
     duration timeout{};              ///< For the probe, and for the order once it is sent.
-    std::function<bool()> may_begin; ///< Whether the order may be sent, asked right before.
+    std::function<bool()> may_begin; ///< Whether orders may be sent, asked right before each of them.
+    std::function<void()> on_begin;  ///< Called right before the order is sent.
+    /// For how long the answer to a grant is awaited in all. If that is longer than the timeout, a grant
+    /// without an answer is `overdue` and not aborted.
+    duration reading_limit{};
 };
 
-/// Sends an order to a target and reads the answer. An order that was not answered in time is aborted; the
-/// target may have carried it out, or may do so later. Not thread safe, like @a pool, which must outlive the
-/// call.
+/// Sends an order to a target and reads the answer. An order that was not answered in time is aborted, unless
+/// its answer is still awaited; the target may have carried it out, or may do so later. Not thread safe, like
+/// @a pool, which must outlive the call.
 auto call_holder(connection_pool& pool, holder_call call) -> boost::asio::awaitable<holder_answer>;
 
 } // namespace teaselcross
