Take the late answer to a grant into account, and release behind it on its connection

Callers saw two targets hold the same keys. Cause: a grant that waits in a target's sockets, or on the way there, was taken for one that is gone; its answer would have said otherwise, and a guess about time took its place. Now a late answer bounds the holder's term from then on, a former holder that answers is asked at once, and a release is sent behind each overdue grant before the keys move.

--- /dev/null
+++ b/src/libteaselcross/ownership/overdue_answers.cpp
@@ -0,0 +1,79 @@
+// What the late answer to a grant means for the ranges of its keys.
+
+#include "ownership/range_grantor_parts.h"
+
+#include <algorithm>
+
+namespace teaselcross {
+
+namespace {
+
+auto overlap(const key_range& range, const key_span& keys) -> key_span {
+    return {.first = std::max(range.first, keys.first), .last = std::min(range.last, keys.last)};
+}
+
+/// The target of @a grant has the keys of @a range until @a until at the latest.
+auto on_held(range_progress& progress, const key_range& range, const overdue_grant& grant, instant now,
+             instant until) -> void {
+    progress.may_hold_until = std::max(progress.may_hold_until, until);
+    progress.previous_may_hold_until = std::max(progress.previous_may_hold_until, until);
+    if (range.fence != grant.fence) {
+        return;
+    }
+    progress.answered_at = now;
+    progress.confirmed = true;
+    if (range.is_moving() && progress.released) {
+        // The target may have read the release before the grant.
+        progress.released = false;
+        progress.next_call_at = now;
+    }
+}
+
+} // namespace
+
+auto on_overdue_answer(range_grantor& state, std::uint64_t call, command_result result, instant now) -> void {
+    const auto grant = take_overdue_grant(state.overdue, call);
+    if (!grant) {
+        return;
+    }
+    auto& holder = state.responses[grant->holder.id];
+    if (result == command_result::unanswered) {
+        holder.uncertain_until = std::max(holder.uncertain_until, grant->may_hold_until);
+    }
+    if (result != command_result::done) {
+        return;
+    }
+    holder.consecutive_failures = 0;
+    const auto until = now + longest_term(state.options);
+    for (const auto& range : state.map.ranges) {
+        const auto keys = overlap(range, grant->keys);
+        if (keys.first > keys.last) {
+            continue;
+        }
+        if (range.holder.id == grant->holder.id) {
+            on_held(progress_of(state, range), range, *grant, now, until);
+        } else {
+            add_revived_grant(state.former,
+                              {.first = keys.first,
+                               .last = keys.last,
+                               .fence = grant->fence,
+                               .holder = grant->holder},
+                              now);
+            state.changed = true;
+        }
+    }
+}
+
+auto on_release_behind_answered(range_grantor& state, const holder_command& command,
+                                const std::string& handover) -> void {
+    for (const auto& range : state.map.ranges) {
+        const auto is_within = command.first <= range.first && range.last <= command.last;
+        if (range.is_moving() && range.fence == command.fence && is_within) {
+            auto& progress = progress_of(state, range);
+            progress.released = true;
+            progress.handover = handover;
+        }
+    }
+}
+
+} // namespace teaselcross
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -1,4 +1,4 @@
-#include "ownership/range_grantor.h"
+#include "ownership/range_grantor_parts.h"
 
 #include <algorithm>
 #include <cmath>
@@ -6,9 +6,6 @@
 
 namespace teaselcross {
 
-namespace {
-
-/// The longest time for which a holder with the slowest clock may use a grant, counted from its arrival.
 auto longest_term(const range_grantor_options& options) -> duration {
     const auto slack = duration{
         static_cast<duration::rep>(static_cast<double>(options.grant_term.count()) * options.clock_drift)};
@@ -19,6 +16,15 @@
     return state.progress[range.fence][range.first];
 }
 
+auto set_next_holder(range_grantor& state, key_range& range, const target_incarnation& to) -> void {
+    range.next = to;
+    range.next_fence = ++state.map.fences_used;
+    state.unrecorded_intents.insert(range.next_fence);
+    state.changed = true;
+}
+
+namespace {
+
 auto has_newer_incarnation(const range_grantor& state, const target_incarnation& incarnation) -> bool {
     const auto found = state.holders.find(incarnation.id);
     return found != state.holders.end() &&
@@ -28,7 +34,8 @@
 /// Whether no unanswered grant can still take effect at @a holder.
 auto has_no_uncertain_grant(const range_grantor& state, const target_id& holder, instant now) -> bool {
     const auto responses = state.responses.find(holder);
-    return responses == state.responses.end() || now >= responses->second.uncertain_until;
+    return !has_uncertain_grant(state.overdue, holder, now) &&
+           (responses == state.responses.end() || now >= responses->second.uncertain_until);
 }
 
 /// The proof that no command that was sent can still make the holder of @a range hold the keys, if there is
@@ -242,62 +249,12 @@
     return other;
 }
 
-auto set_next_holder(range_grantor& state, key_range& range, const target_incarnation& to) -> void {
-    range.next = to;
-    range.next_fence = ++state.map.fences_used;
-    state.unrecorded_intents.insert(range.next_fence);
-    state.changed = true;
-}
-
 } // namespace
 
 auto max_remaining_hold(const range_grantor_options& options) -> duration {
     return longest_term(options) + options.call_timeout + options.late_reading;
 }
 
-auto take_over(range_grantor& state, key_map map, instant moves_allowed_from, instant now) -> void {
-    state.map = std::move(map);
-    state.map.fences_used = std::max(state.map.fences_used, first_fence(state.map.era));
-    state.record_lost = false;
-    state.moves_allowed_from = moves_allowed_from;
-    state.progress.clear();
-    state.unrecorded_intents.clear();
-    state.responses.clear();
-    resume_stale_grants(state.former, state.map.former_holdings, now);
-    state.taken_over_at = now;
-    state.changed = !state.map.ranges.empty();
-    state.writing = false;
-    state.recorded_era = 0;
-    state.owns_record = false;
-    for (const auto& range : state.map.ranges) {
-        progress_of(state, range) = {.may_hold_until =
-                                         std::max(moves_allowed_from, now + longest_term(state.options)),
-                                     .next_call_at = now,
-                                     .release_requested = range.is_moving(),
-                                     .possible_holder = range.next};
-    }
-}
-
-auto take_over_lost_record(range_grantor& state, key_map last_known, instant moves_allowed_from,
-                           instant lost_grants_until, instant now) -> void {
-    take_over(state, std::move(last_known), moves_allowed_from, now);
-    state.record_lost = true;
-    state.map.holders_uncertain = true;
-    state.lost_grants_until = lost_grants_until;
-    state.progress.clear();
-    for (auto& range : state.map.ranges) {
-        set_next_holder(state, range, range.holder);
-        progress_of(state, range) = {.next_call_at = now};
-    }
-}
-
-auto rewrite_record(range_grantor& state, const store_revision& version) -> void {
-    state.map.revision = version;
-    state.map.era = version.era;
-    state.map.fences_used = std::max(state.map.fences_used, first_fence(version.era));
-    state.changed = !state.map.ranges.empty();
-}
-
 auto set_holders(range_grantor& state, std::map<target_id, key_holder> holders) -> void {
     for (const auto& [id, holder] : holders) {
         const auto known = state.holders.find(id);
@@ -396,6 +353,10 @@
             commands.push_back(std::move(*command));
         }
     }
+    auto behind = due_releases_behind(state.overdue, state.map, state.unrecorded_intents);
+    // They are sent before the grants to the next holders.
+    commands.insert(commands.begin(), std::make_move_iterator(behind.begin()),
+                    std::make_move_iterator(behind.end()));
     auto present = std::set<target_incarnation>{};
     for (const auto& [id, holder] : state.holders) {
         present.insert(holder.incarnation);
@@ -419,6 +380,8 @@
             succeeded ? 0 : holder.consecutive_failures + (result == command_result::refused ? 0 : 1);
         if (result == command_result::unanswered) {
             holder.uncertain_until = std::max(holder.uncertain_until, latest_end);
+        } else if (result == command_result::overdue) {
+            add_overdue_grant(state.overdue, command, latest_end);
         }
     }
     // The range may have been split since the call; the result applies to each part.
@@ -429,7 +392,8 @@
         auto& progress = progress_of(state, range);
         progress.call_pending = false;
         if (command.kind == command_kind::release) {
-            progress.released = result == command_result::done;
+            // A release that was sent before the answer to a grant may have been read before that grant.
+            progress.released = result == command_result::done && sent >= progress.answered_at;
             progress.handover = result == command_result::done ? handover : std::string{};
             progress.next_call_at = now + options.retry_delay;
             continue;
@@ -437,7 +401,7 @@
         if (result == command_result::not_sent) {
             progress.may_hold_until = progress.previous_may_hold_until;
         }
-        if (result == command_result::unanswered) {
+        if (result == command_result::unanswered || result == command_result::overdue) {
             progress.may_hold_until = std::max(progress.may_hold_until, latest_end);
         }
         if (result == command_result::done) {
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -15,6 +15,7 @@
 // See Gray and Cheriton, "Leases" (1989), and, for the fencing tokens, Burrows, "The Chubby lock service"
 // (2006).
 
+#include "ownership/overdue_grants.h"
 #include "ownership/stale_grants.h"
 
 #include <map>
@@ -87,6 +88,7 @@
     std::map<std::uint64_t, std::map<shard_key, range_progress>> progress; ///< By fence, then first key.
     std::map<target_id, key_holder> holders;
     std::map<target_id, holder_responses> responses;
+    overdue_grants overdue;       ///< Grants whose answers are awaited beyond their time limit.
     stale_grants former;          ///< What former holders may still take for valid.
     instant taken_over_at{};      ///< When take_over() was called.
     instant moves_allowed_from{}; ///< Grants of an earlier controller may be valid until then.
@@ -135,6 +137,14 @@
 auto on_command_finished(range_grantor& state, const holder_command& command, command_result result,
                          const std::string& handover, instant sent, instant now) -> void;
 
+/// Records the answer to a grant that was `overdue`, or with `unanswered` that there will be none. @a call
+/// identifies the grant. A former holder that has read it only now is asked to release its keys at once.
+auto on_overdue_answer(range_grantor& state, std::uint64_t call, command_result result, instant now) -> void;
+
+/// Records that the release @a command, which was sent behind an overdue grant, was answered after that grant.
+auto on_release_behind_answered(range_grantor& state, const holder_command& command,
+                                const std::string& handover) -> void;
+
 /// Returns the map to write to the store now, if any; `writing` stays set until on_written().
 auto next_write(range_grantor& state) -> std::optional<key_map>;
 /// The map could not be written, and another attempt is needed.
--- /dev/null
+++ b/src/libteaselcross/ownership/range_grantor_parts.h
@@ -0,0 +1,18 @@
+#pragma once
+
+// What the source files of the range grantor share. Not for its users.
+
+#include "ownership/range_grantor.h"
+
+namespace teaselcross {
+
+/// The longest time for which a holder with the slowest clock may use a grant, counted from its arrival.
+auto longest_term(const range_grantor_options& options) -> duration;
+
+/// The state of @a range; a new one if there is none.
+auto progress_of(range_grantor& state, const key_range& range) -> range_progress&;
+
+/// Gives @a range a next holder under a new fence, which has to be recorded before it is used.
+auto set_next_holder(range_grantor& state, key_range& range, const target_incarnation& to) -> void;
+
+} // namespace teaselcross
--- a/src/libteaselcross/ownership/stale_grants.cpp
+++ b/src/libteaselcross/ownership/stale_grants.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace teaselcross {
 
@@ -92,6 +93,24 @@
     }
 }
 
+auto add_revived_grant(stale_grants& state, const key_range& range, instant now) -> void {
+    auto known_keys = shard_key{0};
+    for (auto& each : state.entries) {
+        const auto is_known = each.holder.id == range.holder.id && each.fence == range.fence &&
+                              range.first <= each.first && each.last <= range.last;
+        if (is_known) {
+            each.releases = 0;
+            each.next_call_at = now;
+            each.watched_until = now + state.options.watch_time;
+            each.is_call_outdated = each.call_pending;
+            known_keys += each.last - each.first + 1;
+        }
+    }
+    if (known_keys < range.last - range.first + 1) {
+        add_stale_grant(state, range, now);
+    }
+}
+
 auto resume_stale_grants(stale_grants& state, const std::vector<former_holding>& recorded, instant now)
     -> void {
     state.entries.clear();
@@ -162,6 +181,10 @@
         if (is_called) {
             found = true;
             each.call_pending = false;
+            if (std::exchange(each.is_call_outdated, false)) {
+                each.next_call_at = now;
+                continue;
+            }
             each.releases += result == command_result::done ? 1 : 0;
             const auto is_first_answer = result == command_result::done && each.releases == 1;
             each.next_call_at = is_first_answer ? now : now + state.options.release_interval;
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -117,7 +117,7 @@
     struct target_speed {
         double service_us = 0;
     };
-    struct overdue_grant {
+    struct awaited_grant {
         target_id target;
         std::shared_ptr<grant_exchange> exchange;
     };
@@ -160,6 +160,7 @@
         -> boost::asio::awaitable<void>;
     /// Grants to @a target whose answers are awaited beyond their time limit.
     auto count_overdue_grants(const target_id& target) const -> std::size_t;
+    auto send_behind_grant(holder_command release) -> boost::asio::awaitable<void>;
     auto await_overdue_grant(service_id service, holder_command order, holder_answer answer)
         -> boost::asio::awaitable<void>;
     auto abort_overdue_grants() -> void;
@@ -190,7 +191,7 @@
     std::uint64_t m_term = 0; ///< Number of terms that this process started; identifies the current one.
     std::uint32_t m_grants_in_flight = 0;
     std::uint64_t m_calls = 0;                               ///< Orders so far, to identify each.
-    std::map<std::uint64_t, overdue_grant> m_overdue_grants; ///< By call, of the current term.
+    std::map<std::uint64_t, awaited_grant> m_overdue_grants; ///< By call, of the current term.
     instant m_last_renewal{};                ///< Start of the last successful write of the lease.
     report_times m_reports;                  ///< Of the instances that report to this one.
     report_stamp m_stamp;                    ///< Of the holder's last answer to this instance.
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -263,6 +263,10 @@
 
 auto controller::execute_order(service_id service, holder_command order, std::uint64_t term)
     -> asio::awaitable<void> {
+    if (order.behind != 0) {
+        co_await send_behind_grant(std::move(order));
+        co_return;
+    }
     order.call = ++m_calls;
     const auto is_grant = order.kind == command_kind::grant; // A late release makes nobody a holder.
     const auto limits = make_grant_options();
@@ -296,6 +300,7 @@
     if (m_term == term && found != m_services.end()) {
         on_command_finished(found->second.grantor, order, answer.result, answer.handover, answer.sent, now);
         if (answer.overdue) {
+            m_overdue_grants[order.call] = {.target = order.to.id, .exchange = answer.overdue};
             asio::co_spawn(m_executor,
                            await_overdue_grant(std::move(service), std::move(order), std::move(answer)),
                            asio::detached);
@@ -312,16 +317,44 @@
                       [&target](const auto& each) { return each.second.target == target; }));
 }
 
-/// Waits for the answer to a grant whose time limit has passed, until the term ends.
+/// Sends a release on the connection of the overdue grant that it follows.
+auto controller::send_behind_grant(holder_command release) -> asio::awaitable<void> {
+    const auto found = m_overdue_grants.find(release.behind);
+    if (found != m_overdue_grants.end()) {
+        auto exchange = found->second.exchange;
+        co_await grant_exchange::send_behind(std::move(exchange), std::move(release),
+                                             make_grant_options().release_timeout);
+    }
+}
+
+/// Waits for the answer to a grant whose time limit has passed, and for those to the releases behind it, until
+/// the term ends.
 auto controller::await_overdue_grant(service_id service, holder_command order, holder_answer answer)
     -> asio::awaitable<void> {
     const auto exchange = std::move(answer.overdue);
-    m_overdue_grants[order.call] = {.target = order.to.id, .exchange = exchange};
+    const auto term = m_term;
     co_await exchange->wait(answer.sent + 2 * overdue_limit);
-    const auto now = monotonic_now();
     const auto result = exchange->result();
     const auto is_awaited = m_overdue_grants.erase(order.call) > 0;
-    log_overdue_answer(service, order, result, answer.sent, now, is_awaited);
+    log_overdue_answer(service, order, result, answer.sent, monotonic_now(), is_awaited);
+    if (is_awaited) {
+        auto& state = m_services[service];
+        on_overdue_answer(state.grantor, order.call, result, monotonic_now());
+        tick_service(service, state, monotonic_now());
+    }
+    while (m_term == term && m_is_controller) {
+        const auto asked_at = monotonic_now();
+        const auto released = co_await exchange->read_release(make_grant_options().release_timeout);
+        if (!released) {
+            break;
+        }
+        log_order(service, released->release, released->result, asked_at, monotonic_now());
+        const auto found = m_services.find(service);
+        const auto is_done = released->result == command_result::done;
+        if (is_done && m_term == term && found != m_services.end()) {
+            on_release_behind_answered(found->second.grantor, released->release, released->handover);
+        }
+    }
     exchange->release_to(m_order_pool);
 }
 
--- a/src/teaselcross/gateway/holder_calls.cpp
+++ b/src/teaselcross/gateway/holder_calls.cpp
@@ -40,14 +40,22 @@
     co_return is_received;
 }
 
-/// Whether the process at the address of @a call reads its calls now. Any answer shows that, but for one that
-/// says that it is not the target.
-auto answers_probe(connection_pool& pool, const holder_call& call) -> asio::awaitable<bool> {
+/// What the answer to a probe shows.
+enum class probe_answer {
+    none,    ///< There was none, or it says that the process is not the target.
+    unclear, ///< It may be a late copy of the answer to an earlier call on the connection.
+    reading, ///< The process reads its calls now.
+};
+
+/// Sends the probe of @a call on a connection that was used within @a max_idle, or a new one.
+auto send_probe(connection_pool& pool, const holder_call& call, duration max_idle)
+    -> asio::awaitable<probe_answer> {
     auto address = call.address;
-    auto opened = co_await open_exchange(pool, std::move(address), duration::max());
-    if (!opened) {
-        co_return false;
+    auto opened = co_await open_exchange(pool, std::move(address), max_idle);
+    if (!opened || !call.may_begin()) {
+        co_return probe_answer::none;
     }
+    const auto was_used = opened->client_connection->was_used;
     const auto sent = monotonic_now();
     const auto is_answered = co_await exchange(*opened, *call.probe, call.address.host, sent + call.timeout);
     if (!is_answered) {
@@ -55,11 +63,28 @@
         log::info("probe_unanswered", {{"target", call.order.to.id},
                                        {"birth", call.order.to.start_time_ms},
                                        {"ms", (monotonic_now() - sent).count() / 1000}});
-        co_return false;
+        co_return probe_answer::none;
+    }
+    if (opened->parser->get().result() == http::status::misdirected_request) {
+        co_return probe_answer::none;
+    }
+    auto token = std::string{};
+    const auto response = http_response{opened->header()};
+    if (was_used && platform::read_order_answer(*call.probe, response, token) != command_result::done) {
+        abort_exchange(*opened);
+        co_return probe_answer::unclear;
     }
-    const auto status = opened->parser->get().result();
     end_exchange(pool, std::move(*opened));
-    co_return status != http::status::misdirected_request;
+    co_return probe_answer::reading;
+}
+
+/// Whether the process at the address of @a call reads its calls now. Any answer on a new connection shows that.
+auto answers_probe(connection_pool& pool, const holder_call& call) -> asio::awaitable<bool> {
+    auto answer = co_await send_probe(pool, call, duration::max());
+    if (answer == probe_answer::unclear) {
+        answer = co_await send_probe(pool, call, duration{});
+    }
+    co_return answer == probe_answer::reading;
 }
 
 auto call_for_release(open_answer opened, const holder_call& call, holder_answer answer)
@@ -129,6 +154,45 @@
     }
 }
 
+auto grant_exchange::send_behind(std::shared_ptr<grant_exchange> self, holder_command release,
+                                 duration timeout) -> asio::awaitable<void> {
+    if (self->m_has_ended) {
+        co_return;
+    }
+    self->m_unsent.push_back(std::move(release));
+    if (self->m_is_sending) {
+        co_return;
+    }
+    self->m_is_sending = true;
+    while (!self->m_unsent.empty()) {
+        auto next = std::move(self->m_unsent.front());
+        self->m_unsent.pop_front();
+        const auto request = platform::make_order(next, self->m_host);
+        self->m_sent.push_back(std::move(next));
+        const auto is_sent = co_await send_request(self->m_opened, request, timeout);
+        if (!is_sent) {
+            self->m_unsent.clear();
+            self->abort();
+        }
+    }
+    self->m_is_sending = false;
+}
+
+auto grant_exchange::read_release(duration timeout) -> asio::awaitable<std::optional<release_answer>> {
+    if (!m_is_received || m_sent.empty()) {
+        co_return std::nullopt;
+    }
+    auto answer = release_answer{.release = std::move(m_sent.front())};
+    m_sent.pop_front();
+    const auto limits = reading_limits(timeout);
+    m_is_received = co_await receive_answer(m_opened, false, limits);
+    if (m_is_received) {
+        const auto response = http_response{m_opened.header()};
+        answer.result = platform::read_order_answer(answer.release, response, answer.handover);
+    }
+    co_return answer;
+}
+
 auto grant_exchange::abort() -> void {
     abort_exchange(m_opened);
 }
@@ -142,7 +206,7 @@
 }
 
 auto grant_exchange::release_to(connection_pool& pool) -> void {
-    if (m_is_received) {
+    if (m_is_received && m_sent.empty() && !m_is_sending) {
         end_exchange(pool, std::move(m_opened));
     } else {
         abort();
--- a/src/teaselcross/gateway/holder_calls.h
+++ b/src/teaselcross/gateway/holder_calls.h
@@ -7,12 +7,20 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 
 namespace teaselcross {
 
+/// A release and the answer to it.
+struct release_answer {
+    holder_command release;
+    command_result result = command_result::unanswered;
+    std::string handover;
+};
+
 /// A grant on its connection, whose answer is read even if it comes after the time limit of the call: the
 /// answer tells that the target has read the grant. Not thread safe.
 class grant_exchange {
@@ -25,6 +33,13 @@
         -> boost::asio::awaitable<bool>;
     /// Waits until the answer was read, the connection has ended or @a until has passed.
     auto wait(instant until) -> boost::asio::awaitable<void>;
+    /// Sends @a release behind the grant, so that the target reads it afterwards. Does nothing once the
+    /// reading has ended.
+    static auto send_behind(std::shared_ptr<grant_exchange> self, holder_command release, duration timeout)
+        -> boost::asio::awaitable<void>;
+    /// Reads the answer to the next release that was sent behind the grant. Returns nothing if there is none.
+    /// @pre has_ended(), and the last answer was read
+    auto read_release(duration timeout) -> boost::asio::awaitable<std::optional<release_answer>>;
     /// Closes the connection, which ends the reading.
     auto abort() -> void;
 
@@ -32,7 +47,7 @@
     /// What the answer says; `unanswered` if the connection has ended without one.
     /// @pre has_ended()
     auto result() const -> command_result;
-    /// Returns the connection to @a pool if it can be used again.
+    /// Returns the connection to @a pool if nothing more is awaited on it, and closes it otherwise.
     /// @pre has_ended()
     auto release_to(connection_pool& pool) -> void;
 
@@ -43,6 +58,9 @@
     holder_command m_grant;
     std::string m_host;
     boost::asio::steady_timer m_end; ///< Cancelled when the reading has ended.
+    std::deque<holder_command> m_unsent; ///< Releases to be sent behind the grant.
+    std::deque<holder_command> m_sent;   ///< Releases behind the grant that were not answered.
+    bool m_is_sending = false;
     bool m_has_ended = false;
     bool m_is_received = false;
 };
--- a/tests/gateway/holder_calls_test.cpp
+++ b/tests/gateway/holder_calls_test.cpp
@@ -16,6 +16,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cstring>
+
 namespace teaselcross {
 namespace {
 
@@ -38,6 +40,8 @@
         return {.host = "127.0.0.1", .port = m_acceptor.local_endpoint().port()};
     }
     auto has_read(const std::string& path) const -> bool { return m_read.find(path) != std::string::npos; }
+    /// Where the first call to @a path begins in what was read.
+    auto position_of(const std::string& path) const -> std::size_t { return m_read.find(path); }
     auto stop() -> void { m_acceptor.close(); }
 
 private:
@@ -62,10 +66,13 @@
             }
             const auto text = std::string{part.data(), size};
             m_read += text;
-            const auto is_release = text.find(platform::names::release_path) != std::string::npos;
-            const auto answer =
-                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" +
-                (is_release ? std::string{platform::names::handover} + ": token\r\n\r\n" : "\r\n");
+            auto answer = std::string{};
+            for (auto at = text.find("POST "); at != std::string::npos; at = text.find("POST ", at + 1)) {
+                const auto is_release = text.compare(at + 5, std::strlen(platform::names::release_path),
+                                                     platform::names::release_path) == 0;
+                answer += "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" +
+                          (is_release ? std::string{platform::names::handover} + ": token\r\n\r\n" : "\r\n");
+            }
             const auto [write_error, written] =
                 co_await asio::async_write(socket, asio::buffer(answer), as_result);
             if (write_error) {
@@ -204,6 +211,68 @@
     EXPECT_FALSE(peer.has_read(platform::names::release_path));
 }
 
+// Guards against a second owner when a target takes a grant after the time limit of the call: its answer was
+// thrown away, and with it the knowledge that the target holds the keys.
+TEST_F(holder_calls_test, answer_after_the_time_limit_is_read) {
+    auto given = holder_answer{};
+    auto result = std::optional<command_result>{};
+    m_peer = std::make_unique<suspended_peer>(m_context, call_timeout * 3);
+    auto call = holder_call{.address = m_peer->address(),
+                            .order = {.to = {.id = target_id{"a"}}, .last = 99, .fence = 3},
+                            .timeout = call_timeout,
+                            .may_begin = [] { return true; },
+                            .reading_limit = call_timeout * 10};
+    asio::co_spawn(
+        m_context,
+        [&]() -> asio::awaitable<void> {
+            given = co_await call_holder(m_pool, std::move(call));
+            if (given.overdue) {
+                co_await given.overdue->wait(monotonic_now() + call_timeout * 5);
+                result = given.overdue->has_ended() ? std::optional{given.overdue->result()} : std::nullopt;
+                given.overdue->release_to(m_pool);
+            }
+            m_peer->stop();
+            m_context.stop();
+        },
+        asio::detached);
+    m_context.run();
+    EXPECT_EQ(given.result, command_result::overdue);
+    EXPECT_EQ(result, command_result::done);
+}
+
+// Guards against a second owner when a release overtakes a grant that waits in another connection.
+TEST_F(holder_calls_test, release_behind_an_overdue_grant_is_read_after_it) {
+    auto answer = std::optional<release_answer>{};
+    m_peer = std::make_unique<suspended_peer>(m_context, call_timeout * 3);
+    auto call = holder_call{.address = m_peer->address(),
+                            .order = {.to = {.id = target_id{"a"}}, .last = 99, .fence = 3},
+                            .timeout = call_timeout,
+                            .may_begin = [] { return true; },
+                            .reading_limit = call_timeout * 10};
+    auto release = call.order;
+    release.kind = command_kind::release;
+    asio::co_spawn(
+        m_context,
+        [&]() -> asio::awaitable<void> {
+            auto given = co_await call_holder(m_pool, std::move(call));
+            if (given.overdue) {
+                co_await grant_exchange::send_behind(given.overdue, release, call_timeout);
+                co_await given.overdue->wait(monotonic_now() + call_timeout * 5);
+                answer = co_await given.overdue->read_release(call_timeout);
+                given.overdue->release_to(m_pool);
+            }
+            m_peer->stop();
+            m_context.stop();
+        },
+        asio::detached);
+    m_context.run();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->result, command_result::done);
+    EXPECT_EQ(answer->handover, "token");
+    EXPECT_LT(m_peer->position_of(platform::names::grant_path),
+              m_peer->position_of(platform::names::release_path));
+}
+
 TEST(holder_probe, names_keys_of_another_holder_only) {
     const auto a = target_incarnation{.id = target_id{"a"}};
     const auto b = target_incarnation{.id = target_id{"b"}};
