Test of a release before a late answer: read what follows at once

The limit of unread calls of the test's target stayed at two after the list of them was cleared, so the releases that followed were left unread and never counted.

--- a/tests/ownership/overdue_grants_test.cpp
+++ b/tests/ownership/overdue_grants_test.cpp
@@ -184,6 +184,7 @@
     read_first_grant();
     on_command_finished(m_state, release.command, command_result::done, "token", release.sent, m_now);
     m_unread.clear();
+    m_unread_limit = 0;
     m_first_grants_to_b.clear();
     m_releases_to_a.clear();
     run_until(m_now + seconds{1});
