Give keys again to targets that answer again, and probe a target that has all keys

A target whose grants had stayed unanswered kept its failures once it had no keys, as only a grant could reset them; after two cuts one target, which had restarted, was given all keys. And no probe was sent to a target with all keys, so that its grants piled up in the cut link and arrived when it healed.

--- a/src/libteaselcross/ownership/holder_probe.cpp
+++ b/src/libteaselcross/ownership/holder_probe.cpp
@@ -4,18 +4,30 @@
 
 namespace teaselcross {
 
-auto make_probe(const key_map& map, const holder_command& grant) -> std::optional<holder_command> {
+namespace {
+
+auto make_release(const holder_command& grant, shard_key key, std::uint64_t fence) -> holder_command {
+    return {.kind = command_kind::release, .to = grant.to, .first = key, .last = key, .fence = fence};
+}
+
+} // namespace
+
+auto make_probe(const key_map& map, const holder_command& grant) -> holder_command {
     const auto of_another = std::find_if(map.ranges.begin(), map.ranges.end(), [&grant](const auto& range) {
         return range.holder.id != grant.to.id && range.next.id != grant.to.id;
     });
-    if (of_another == map.ranges.end()) {
-        return std::nullopt;
+    if (of_another != map.ranges.end()) {
+        return make_release(grant, of_another->first, of_another->fence);
+    }
+    // A release waits for the work on its keys. Few keys are busy, and they are at the ends of small ranges.
+    const auto largest =
+        std::max_element(map.ranges.begin(), map.ranges.end(), [](const auto& left, const auto& right) {
+            return left.last - left.first < right.last - right.first;
+        });
+    if (largest == map.ranges.end()) {
+        return make_release(grant, grant.first, grant.fence - 1);
     }
-    return holder_command{.kind = command_kind::release,
-                          .to = grant.to,
-                          .first = of_another->first,
-                          .last = of_another->first,
-                          .fence = of_another->fence};
+    return make_release(grant, largest->first + (largest->last - largest->first) / 2, largest->fence - 1);
 }
 
 } // namespace teaselcross
--- a/src/libteaselcross/ownership/holder_probe.h
+++ b/src/libteaselcross/ownership/holder_probe.h
@@ -5,12 +5,12 @@
 
 #include "ownership/holder_command.h"
 
-#include <optional>
-
 namespace teaselcross {
 
 /// A call without effect to the process that @a grant is for: the release of a key that @a map gives to
-/// another target. Nothing if no other target has keys. Thread safe.
-auto make_probe(const key_map& map, const holder_command& grant) -> std::optional<holder_command>;
+/// another target. If there is none, the release of a key of that process, under a fence that is below that
+/// of its grants. Thread safe.
+/// @pre the fence of @a grant is above 0.
+auto make_probe(const key_map& map, const holder_command& grant) -> holder_command;
 
 } // namespace teaselcross
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -374,6 +374,9 @@
     const auto latest_end =
         std::max(now, sent + options.call_timeout) + options.late_reading + longest_term(options);
     on_stale_release_finished(state.former, command, result, now);
+    if (command.kind == command_kind::release && result == command_result::done) {
+        holder.consecutive_failures = 0; // A target without keys is sent no grants that would show it.
+    }
     if (command.kind == command_kind::grant) {
         const auto succeeded = result == command_result::done;
         holder.consecutive_failures =
