Hold keys back while the grant of a target that lives is overdue

A grant may be held up for longer than any fixed lateness. A target that gets no more grants because too many are overdue is not sent any, rather than one that is aborted. Tests: three of overdue_grants_test (new interface).

--- a/src/libteaselcross/ownership/overdue_grants.cpp
+++ b/src/libteaselcross/ownership/overdue_grants.cpp
@@ -13,16 +13,37 @@
     return is_moving ? range.next.id != holder : range.holder.id != holder;
 }
 
+/// By when @a grant has expired, whenever it is read.
+auto expires_by(const overdue_grant_options& options, const overdue_grant& grant, bool is_present,
+                duration longest_term) -> instant {
+    if (grant.later_answer_at != instant{}) {
+        return std::max(grant.may_hold_until, grant.later_answer_at + options.reading_spread + longest_term);
+    }
+    // The entry of a process that was suspended or has ended lapses.
+    return is_present ? std::max(grant.may_hold_until, grant.sent + options.longest_reading + longest_term)
+                      : grant.may_hold_until;
+}
+
 } // namespace
 
-auto add_overdue_grant(overdue_grants& state, const holder_command& grant, instant may_hold_until) -> void {
+auto add_overdue_grant(overdue_grants& state, const holder_command& grant, instant sent,
+                       instant may_hold_until) -> void {
     state.entries.push_back({.call = grant.call,
                              .holder = grant.to,
                              .keys = {.first = grant.first, .last = grant.last},
                              .fence = grant.fence,
+                             .sent = sent,
                              .may_hold_until = may_hold_until});
 }
 
+auto on_later_answer(overdue_grants& state, const target_id& holder, instant sent, instant now) -> void {
+    for (auto& each : state.entries) {
+        if (each.holder.id == holder && each.sent < sent && each.later_answer_at == instant{}) {
+            each.later_answer_at = now;
+        }
+    }
+}
+
 auto take_overdue_grant(overdue_grants& state, std::uint64_t call) -> std::optional<overdue_grant> {
     const auto found = std::find_if(state.entries.begin(), state.entries.end(),
                                     [call](const auto& each) { return each.call == call; });
@@ -34,9 +55,14 @@
     return taken;
 }
 
-auto has_uncertain_grant(const overdue_grants& state, const target_id& holder, instant now) -> bool {
+auto has_uncertain_grant(const overdue_grants& state, const target_id& holder, const key_span& keys,
+                         const std::optional<target_incarnation>& present, duration longest_term, instant now)
+    -> bool {
     return std::any_of(state.entries.begin(), state.entries.end(), [&](const auto& each) {
-        return each.holder.id == holder && now < each.may_hold_until;
+        const auto overlaps = each.keys.first <= keys.last && keys.first <= each.keys.last;
+        const auto is_present = present == each.holder;
+        return each.holder.id == holder && overlaps &&
+               now < expires_by(state.options, each, is_present, longest_term);
     });
 }
 
--- a/src/libteaselcross/ownership/overdue_grants.h
+++ b/src/libteaselcross/ownership/overdue_grants.h
@@ -24,24 +24,45 @@
     target_incarnation holder;
     key_span keys;
     std::uint64_t fence = 0;
-    /// Without an answer, the grant is taken to have expired by then.
+    instant sent{};
+    /// Without an answer, the grant counts as expired by then, if it was read within the usual time.
     instant may_hold_until{};
+    /// When the target first answered another call that was sent after the grant, if it did.
+    instant later_answer_at{};
     std::vector<key_span> released; ///< Keys whose release was sent behind the grant, on its connection.
 };
 
+struct overdue_grant_options {
+    /// A target that answers a call has read what was sent before that call, apart from the calls of other
+    /// connections that it gets to within this time.
+    duration reading_spread = std::chrono::milliseconds{1000};
+    /// A target that is listed, keeps the connection and answers nothing may read the grant until so long after
+    /// it was sent. Then its keys move all the same.
+    duration longest_reading = std::chrono::seconds{12};
+};
+
 struct overdue_grants {
+    overdue_grant_options options;
     std::vector<overdue_grant> entries;
 };
 
 /// Records a grant whose answer is still awaited.
-auto add_overdue_grant(overdue_grants& state, const holder_command& grant, instant may_hold_until) -> void;
+auto add_overdue_grant(overdue_grants& state, const holder_command& grant, instant sent,
+                       instant may_hold_until) -> void;
+
+/// Records that @a holder has answered a call that was sent at @a sent.
+auto on_later_answer(overdue_grants& state, const target_id& holder, instant sent, instant now) -> void;
 
 /// Removes the grant that was sent with @a call, which has been answered or whose connection has ended.
 /// Returns nothing if there is none.
 auto take_overdue_grant(overdue_grants& state, std::uint64_t call) -> std::optional<overdue_grant>;
 
-/// Whether a grant to @a holder may still take effect, although it counts with its latest reading.
-auto has_uncertain_grant(const overdue_grants& state, const target_id& holder, instant now) -> bool;
+/// Whether a grant of some of @a keys to @a holder may still be in force, or be read and come into force.
+/// @a present is the process of the target that is listed, if there is one; @a longest_term the longest time for
+/// which a grant is in force.
+auto has_uncertain_grant(const overdue_grants& state, const target_id& holder, const key_span& keys,
+                         const std::optional<target_incarnation>& present, duration longest_term, instant now)
+    -> bool;
 
 /// Returns the releases to send behind overdue grants, on their connections: of keys that by @a map are moving
 /// away from their holder, or have moved; not for moves that are not recorded yet. The target reads them after the grant, however late that is.
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -25,19 +25,31 @@
 
 namespace {
 
-auto has_newer_incarnation(const range_grantor& state, const target_incarnation& incarnation) -> bool {
-    const auto found = state.holders.find(incarnation.id);
-    return found != state.holders.end() &&
-           found->second.incarnation.start_time_ms > incarnation.start_time_ms;
+constexpr auto all_keys = key_span{.first = 0, .last = last_shard_key};
+
+/// Whether a grant of @a keys whose answer is still awaited can take effect at @a holder.
+auto has_overdue_grant(const range_grantor& state, const target_id& holder, const key_span& keys, instant now)
+    -> bool {
+    const auto listed = state.holders.find(holder);
+    const auto present =
+        listed != state.holders.end() ? std::optional{listed->second.incarnation} : std::nullopt;
+    return has_uncertain_grant(state.overdue, holder, keys, present, longest_term(state.options), now);
 }
 
-/// Whether no unanswered grant can still take effect at @a holder.
-auto has_no_uncertain_grant(const range_grantor& state, const target_id& holder, instant now) -> bool {
+/// Whether no unanswered grant of @a keys can still take effect at @a holder.
+auto has_no_uncertain_grant(const range_grantor& state, const target_id& holder, const key_span& keys,
+                            instant now) -> bool {
     const auto responses = state.responses.find(holder);
-    return !has_uncertain_grant(state.overdue, holder, now) &&
+    return !has_overdue_grant(state, holder, keys, now) &&
            (responses == state.responses.end() || now >= responses->second.uncertain_until);
 }
 
+auto has_newer_incarnation(const range_grantor& state, const target_incarnation& incarnation) -> bool {
+    const auto found = state.holders.find(incarnation.id);
+    return found != state.holders.end() &&
+           found->second.incarnation.start_time_ms > incarnation.start_time_ms;
+}
+
 /// The proof that no command that was sent can still make the holder of @a range hold the keys, if there is
 /// one.
 auto find_proof(const range_grantor& state, const key_range& range, const range_progress& progress,
@@ -56,11 +68,14 @@
         return std::nullopt;
     }
     // A release by the holder proves nothing about another target that may hold the keys.
+    const auto keys = key_span{.first = range.first, .last = range.last};
     if (progress.released && !has_other_possible_holder &&
-        has_no_uncertain_grant(state, range.holder.id, now)) {
+        has_no_uncertain_grant(state, range.holder.id, keys, now)) {
         return has_newer_incarnation(state, range.holder) ? move_proof::restarted : move_proof::released;
     }
-    return now >= progress.may_hold_until ? std::optional{move_proof::expired} : std::nullopt;
+    const auto is_expired =
+        now >= progress.may_hold_until && !has_overdue_grant(state, range.holder.id, keys, now);
+    return is_expired ? std::optional{move_proof::expired} : std::nullopt;
 }
 
 /// Whether @a holder may have an aborted grant in its sockets, from this controller or the one before.
@@ -69,7 +84,9 @@
         return at != instant{} && now < at + state.former.options.watch_time;
     };
     const auto responses = state.responses.find(holder);
-    return is_recent(state.taken_over_at) ||
+    const auto is_overdue = std::any_of(state.overdue.entries.begin(), state.overdue.entries.end(),
+                                        [&holder](const auto& each) { return each.holder.id == holder; });
+    return is_overdue || is_recent(state.taken_over_at) ||
            (responses != state.responses.end() && is_recent(responses->second.uncertain_until));
 }
 
@@ -240,7 +257,7 @@
                         const std::map<target_id, double>& loads, instant now) -> const key_holder* {
     const auto restarted = has_newer_incarnation(state, range.holder);
     const auto certain =
-        now >= state.moves_allowed_from && has_no_uncertain_grant(state, range.holder.id, now);
+        now >= state.moves_allowed_from && has_no_uncertain_grant(state, range.holder.id, all_keys, now);
     const auto* other = least_loaded(state, loads, range.holder.id);
     if (restarted && (!certain || other == nullptr)) {
         const auto& self = state.holders.at(range.holder.id);
@@ -374,6 +391,9 @@
     const auto latest_end =
         std::max(now, sent + options.call_timeout) + options.late_reading + longest_term(options);
     on_stale_release_finished(state.former, command, result, now);
+    if (result == command_result::done || result == command_result::refused) {
+        on_later_answer(state.overdue, command.to.id, sent, now);
+    }
     if (command.kind == command_kind::release && result == command_result::done) {
         holder.consecutive_failures = 0; // A target without keys is sent no grants that would show it.
     }
@@ -384,7 +404,7 @@
         if (result == command_result::unanswered) {
             holder.uncertain_until = std::max(holder.uncertain_until, latest_end);
         } else if (result == command_result::overdue) {
-            add_overdue_grant(state.overdue, command, latest_end);
+            add_overdue_grant(state.overdue, command, sent, latest_end);
         }
     }
     // The range may have been split since the call; the result applies to each part.
@@ -454,6 +474,10 @@
     return !state.record_lost && (is_written || is_empty);
 }
 
+auto is_certain(const range_grantor& state, const target_id& holder, instant now) -> bool {
+    return has_no_uncertain_grant(state, holder, all_keys, now);
+}
+
 auto is_served(const range_grantor& state, std::size_t index) -> bool {
     const auto& range = state.map.ranges[index];
     const auto by_fence = state.progress.find(range.fence);
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -155,6 +155,9 @@
 /// Whether the store has in @a era a record of all ranges, and no grant is missing from it.
 auto is_recorded(const range_grantor& state, std::uint64_t era) -> bool;
 
+/// Whether each grant to @a holder has been answered, or has expired whenever it was read.
+auto is_certain(const range_grantor& state, const target_id& holder, instant now) -> bool;
+
 /// Whether range @a index is not moving and its holder has acknowledged the grant.
 auto is_served(const range_grantor& state, std::size_t index) -> bool;
 
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -37,7 +37,7 @@
 /// How long the answer to a grant is awaited in all. A target that was suspended may answer long after the
 /// time limit of the call.
 constexpr auto overdue_limit = duration{std::chrono::seconds{60}};
-/// Grants to one target whose answers are awaited beyond their time limit. More are aborted.
+/// With so many grants whose answers are awaited beyond their time limit, a target gets no further one.
 constexpr auto max_overdue_grants = std::size_t{8};
 
 /// Logs the answer to a grant that came after the time limit of the call, or that there will be none.
@@ -274,7 +274,9 @@
     auto address = m_cluster.last_address(order.to);
     auto answer = holder_answer{.sent = monotonic_now()};
     auto is_begun = false;
-    if (address && known != m_services.end()) {
+    // One that is aborted may be read later without anybody noticing.
+    const auto may_be_overdue = !is_grant || count_overdue_grants(order.to.id) < max_overdue_grants;
+    if (address && known != m_services.end() && may_be_overdue) {
         auto call = holder_call{.address = std::move(*address),
                                 .order = order,
                                 .timeout = is_grant ? limits.call_timeout : limits.release_timeout};
@@ -286,9 +288,7 @@
             is_begun = true;
             m_grants_in_flight += is_grant ? 1U : 0U;
         };
-        if (is_grant && count_overdue_grants(order.to.id) < max_overdue_grants) {
-            call.reading_limit = overdue_limit;
-        }
+        call.reading_limit = is_grant ? overdue_limit : duration{};
         answer = co_await call_holder(m_order_pool, std::move(call));
     }
     m_grants_in_flight -= is_grant && is_begun ? 1U : 0U;
--- a/src/teaselcross/gateway/controller_lease.cpp
+++ b/src/teaselcross/gateway/controller_lease.cpp
@@ -293,7 +293,7 @@
             return false; // The stored key map names holders that have changed since.
         }
         for (const auto& [id, answers] : state.grantor.responses) {
-            if (answers.uncertain_until > now || has_uncertain_grant(state.grantor.overdue, id, now)) {
+            if (!is_certain(state.grantor, id, now)) {
                 return false;
             }
         }
--- a/tests/ownership/overdue_grants_test.cpp
+++ b/tests/ownership/overdue_grants_test.cpp
@@ -130,7 +130,7 @@
 TEST_F(overdue_grants_test, former_holder_that_reads_a_grant_late_is_asked_to_release_at_once) {
     m_first_grants_to_b.clear();
     m_reads_until = m_now;
-    run_until(m_now + seconds{10});
+    run_until(m_now + seconds{20});
     ASSERT_FALSE(m_first_grants_to_b.empty());
     m_reads_until = instant::max();
     for (const auto& each : m_unread) { // What is still awaited was read before the grant.
@@ -148,12 +148,53 @@
     EXPECT_EQ(m_releases_to_a.front(), read_at);
 }
 
+// Guards against a second owner when something on the way holds a grant for longer than the usual time: the
+// target is alive, as its heartbeats show, and nothing that was sent after the grant was answered.
+TEST_F(overdue_grants_test, keys_of_a_listed_target_that_answers_nothing_do_not_move_before_the_longest_reading) {
+    m_first_grants_to_b.clear();
+    m_reads_until = m_now;
+    const auto begin = m_now;
+    run_until(m_now + seconds{30});
+    ASSERT_FALSE(m_first_grants_to_b.empty());
+    EXPECT_GE(m_first_grants_to_b.front(), begin + m_state.overdue.options.longest_reading);
+}
+
+// Guards against keys without an owner for longer than is needed: the entry of a target that ended has lapsed.
+TEST_F(overdue_grants_test, keys_of_a_target_that_is_not_listed_move_after_the_usual_time) {
+    m_first_grants_to_b.clear();
+    m_reads_until = m_now;
+    const auto begin = m_now;
+    m_unread_limit = 1;
+    run_until(m_now + seconds{1});
+    set_holders(m_state, {{b, {.incarnation = {.id = b, .start_time_ms = 1}, .eligible = true, .capacity = 10}}});
+    m_unread_limit = 1000;
+    run_until(m_now + seconds{9});
+    ASSERT_FALSE(m_first_grants_to_b.empty());
+    EXPECT_LT(m_first_grants_to_b.front(), begin + seconds{8});
+}
+
+// Guards against keys without an owner for longer than is needed: a target that answers later calls has read
+// the grant, though it does not answer it.
+TEST_F(overdue_grants_test, later_answer_of_the_target_bounds_the_time_of_an_overdue_grant) {
+    m_first_grants_to_b.clear();
+    m_reads_until = m_now;
+    m_unread_limit = 1;
+    run_until(m_now + milliseconds{1500});
+    ASSERT_EQ(m_unread.size(), 1U);
+    const auto& range = m_state.map.ranges.front();
+    ASSERT_EQ(range.holder.id, a);
+    start_move(m_state, range.first, range.last, {.id = b, .start_time_ms = 1});
+    run_until(m_now + seconds{6});
+    ASSERT_FALSE(m_first_grants_to_b.empty());
+    EXPECT_GE(m_first_grants_to_b.front(), m_unread.front().sent + longest_hold());
+}
+
 // Guards against a second owner when a target takes a grant after the keys have moved: the release that waits
 // behind it on the same connection is read right after it.
 TEST_F(overdue_grants_test, release_is_sent_behind_an_overdue_grant_before_the_keys_move) {
     m_first_grants_to_b.clear();
     m_reads_until = m_now;
-    run_until(m_now + seconds{10});
+    run_until(m_now + seconds{20});
     ASSERT_FALSE(m_first_grants_to_b.empty());
     ASSERT_FALSE(m_behind.empty());
     const auto& grant = *std::find_if(m_unread.begin(), m_unread.end(), [](const auto& each) {
