--- a/src/libteaselcross/ownership/overdue_answers.cpp
+++ b/src/libteaselcross/ownership/overdue_answers.cpp
@@ -40,6 +40,9 @@
     if (result == command_result::unanswered) {
         holder.uncertain_until = std::max(holder.uncertain_until, grant->may_hold_until);
     }
+    if (result == command_result::done || result == command_result::refused) {
+        on_later_answer(state.overdue, grant->holder.id, grant->sent, now);
+    }
     if (result != command_result::done) {
         return;
     }
--- a/tests/ownership/overdue_grants_test.cpp
+++ b/tests/ownership/overdue_grants_test.cpp
@@ -115,6 +115,7 @@
 // Guards against a second owner when a target takes a grant long after its time limit: the move counted with
 // one that is read a second late at the most.
 TEST_F(overdue_grants_test, no_move_before_a_grant_that_was_read_late_has_expired) {
+    m_state.overdue.options.longest_reading = {};
     m_first_grants_to_b.clear();
     m_reads_until = m_now;
     run_until(m_now + seconds{6});
