--- a/src/libteaselcross/ownership/overdue_answers.cpp
+++ b/src/libteaselcross/ownership/overdue_answers.cpp
@@ -56,12 +56,10 @@
         if (range.holder.id == grant->holder.id) {
             on_held(progress_of(state, range), range, *grant, now, until);
         } else {
-            add_revived_grant(state.former,
-                              {.first = keys.first,
-                               .last = keys.last,
-                               .fence = grant->fence,
-                               .holder = grant->holder},
-                              now);
+            add_revived_grant(
+                state.former,
+                {.first = keys.first, .last = keys.last, .fence = grant->fence, .holder = grant->holder},
+                now);
             state.changed = true;
         }
     }
--- a/src/libteaselcross/ownership/overdue_grants.cpp
+++ b/src/libteaselcross/ownership/overdue_grants.cpp
@@ -77,7 +77,8 @@
                 std::any_of(each.released.begin(), each.released.end(), [&keys](const auto& released) {
                     return released.first <= keys.first && keys.last <= released.last;
                 });
-            if (keys.first > keys.last || is_released || !is_taken_from(range, each.holder.id, unrecorded_intents)) {
+            if (keys.first > keys.last || is_released ||
+                !is_taken_from(range, each.holder.id, unrecorded_intents)) {
                 continue;
             }
             each.released.push_back(keys);
--- a/src/libteaselcross/ownership/overdue_grants.h
+++ b/src/libteaselcross/ownership/overdue_grants.h
@@ -36,8 +36,8 @@
     /// A target that answers a call has read what was sent before that call, apart from the calls of other
     /// connections that it gets to within this time.
     duration reading_spread = std::chrono::milliseconds{1000};
-    /// A target that is listed, keeps the connection and answers nothing may read the grant until so long after
-    /// it was sent. Then its keys move all the same.
+    /// A target that is listed, keeps the connection and answers nothing may read the grant until so long
+    /// after it was sent. Then its keys move all the same.
     duration longest_reading = std::chrono::seconds{12};
 };
 
@@ -58,14 +58,15 @@
 auto take_overdue_grant(overdue_grants& state, std::uint64_t call) -> std::optional<overdue_grant>;
 
 /// Whether a grant of some of @a keys to @a holder may still be in force, or be read and come into force.
-/// @a present is the process of the target that is listed, if there is one; @a longest_term the longest time for
-/// which a grant is in force.
+/// @a present is the process of the target that is listed, if there is one; @a longest_term the longest time
+/// for which a grant is in force.
 auto has_uncertain_grant(const overdue_grants& state, const target_id& holder, const key_span& keys,
                          const std::optional<target_incarnation>& present, duration longest_term, instant now)
     -> bool;
 
-/// Returns the releases to send behind overdue grants, on their connections: of keys that by @a map are moving
-/// away from their holder, or have moved; not for moves that are not recorded yet. The target reads them after the grant, however late that is.
+/// Returns the releases to send behind overdue grants, on their connections: of keys that by @a map are
+/// moving away from their holder, or have moved; not for moves that are not recorded yet. The target reads
+/// them after the grant, however late that is.
 auto due_releases_behind(overdue_grants& state, const key_map& map,
                          const std::set<std::uint64_t>& unrecorded_intents) -> std::vector<holder_command>;
 
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -141,7 +141,8 @@
 /// identifies the grant. A former holder that has read it only now is asked to release its keys at once.
 auto on_overdue_answer(range_grantor& state, std::uint64_t call, command_result result, instant now) -> void;
 
-/// Records that the release @a command, which was sent behind an overdue grant, was answered after that grant.
+/// Records that the release @a command, which was sent behind an overdue grant, was answered after that
+/// grant.
 auto on_release_behind_answered(range_grantor& state, const holder_command& command,
                                 const std::string& handover) -> void;
 
--- a/src/libteaselcross/ownership/stale_grants.h
+++ b/src/libteaselcross/ownership/stale_grants.h
@@ -50,8 +50,8 @@
 auto add_replaced_destination(stale_grants& state, const key_range& range,
                               const target_incarnation& possible_holder, instant now) -> void;
 
-/// Records that the former holder of @a range has taken its grant only at @a now. What it released before does
-/// not count, and it is asked at once.
+/// Records that the former holder of @a range has taken its grant only at @a now. What it released before
+/// does not count, and it is asked at once.
 auto add_revived_grant(stale_grants& state, const key_range& range, instant now) -> void;
 
 /// Begins with the former holders that an earlier controller has recorded, in place of all earlier entries.
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -22,7 +22,8 @@
 
 namespace {
 
-/// Ticks that are later than this are logged: the process had no processor time, or the machine was suspended.
+/// Ticks that are later than this are logged: the process had no processor time, or the machine was
+/// suspended.
 constexpr auto late_tick = duration{std::chrono::milliseconds{250}};
 
 } // namespace
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -327,8 +327,8 @@
     }
 }
 
-/// Waits for the answer to a grant whose time limit has passed, and for those to the releases behind it, until
-/// the term ends.
+/// Waits for the answer to a grant whose time limit has passed, and for those to the releases behind it,
+/// until the term ends.
 auto controller::await_overdue_grant(service_id service, holder_command order, holder_answer answer)
     -> asio::awaitable<void> {
     const auto exchange = std::move(answer.overdue);
--- a/src/teaselcross/gateway/holder_calls.cpp
+++ b/src/teaselcross/gateway/holder_calls.cpp
@@ -78,7 +78,8 @@
     co_return probe_answer::reading;
 }
 
-/// Whether the process at the address of @a call reads its calls now. Any answer on a new connection shows that.
+/// Whether the process at the address of @a call reads its calls now. Any answer on a new connection shows
+/// that.
 auto answers_probe(connection_pool& pool, const holder_call& call) -> asio::awaitable<bool> {
     auto answer = co_await send_probe(pool, call, duration::max());
     if (answer == probe_answer::unclear) {
--- a/src/teaselcross/gateway/holder_calls.h
+++ b/src/teaselcross/gateway/holder_calls.h
@@ -57,7 +57,7 @@
     open_answer m_opened;
     holder_command m_grant;
     std::string m_host;
-    boost::asio::steady_timer m_end; ///< Cancelled when the reading has ended.
+    boost::asio::steady_timer m_end;     ///< Cancelled when the reading has ended.
     std::deque<holder_command> m_unsent; ///< Releases to be sent behind the grant.
     std::deque<holder_command> m_sent;   ///< Releases behind the grant that were not answered.
     bool m_is_sending = false;
@@ -67,8 +67,8 @@
 
 struct holder_answer {
     command_result result = command_result::not_sent;
-    std::string handover; ///< Of a release that was acknowledged.
-    instant sent{};       ///< When the order was sent, or was to be sent.
+    std::string handover;                    ///< Of a release that was acknowledged.
+    instant sent{};                          ///< When the order was sent, or was to be sent.
     std::shared_ptr<grant_exchange> overdue; ///< If the result is `overdue`.
 };
 
--- a/tests/ownership/overdue_grants_test.cpp
+++ b/tests/ownership/overdue_grants_test.cpp
@@ -25,8 +25,8 @@
     }
 }
 
-/// Target "a" reads none of its calls until @a reads_from, and "b" reads them at once. Each call of "a" that is
-/// sent has an open connection; a grant whose time limit has passed is overdue.
+/// Target "a" reads none of its calls until @a reads_from, and "b" reads them at once. Each call of "a" that
+/// is sent has an open connection; a grant whose time limit has passed is overdue.
 class overdue_grants_test : public testing::Test {
 protected:
     overdue_grants_test() {
@@ -151,7 +151,8 @@
 
 // Guards against a second owner when something on the way holds a grant for longer than the usual time: the
 // target is alive, as its heartbeats show, and nothing that was sent after the grant was answered.
-TEST_F(overdue_grants_test, keys_of_a_listed_target_that_answers_nothing_do_not_move_before_the_longest_reading) {
+TEST_F(overdue_grants_test,
+       keys_of_a_listed_target_that_answers_nothing_do_not_move_before_the_longest_reading) {
     m_first_grants_to_b.clear();
     m_reads_until = m_now;
     const auto begin = m_now;
@@ -160,14 +161,16 @@
     EXPECT_GE(m_first_grants_to_b.front(), begin + m_state.overdue.options.longest_reading);
 }
 
-// Guards against keys without an owner for longer than is needed: the entry of a target that ended has lapsed.
+// Guards against keys without an owner for longer than is needed: the entry of a target that ended has
+// lapsed.
 TEST_F(overdue_grants_test, keys_of_a_target_that_is_not_listed_move_after_the_usual_time) {
     m_first_grants_to_b.clear();
     m_reads_until = m_now;
     const auto begin = m_now;
     m_unread_limit = 1;
     run_until(m_now + seconds{1});
-    set_holders(m_state, {{b, {.incarnation = {.id = b, .start_time_ms = 1}, .eligible = true, .capacity = 10}}});
+    set_holders(m_state,
+                {{b, {.incarnation = {.id = b, .start_time_ms = 1}, .eligible = true, .capacity = 10}}});
     m_unread_limit = 1000;
     run_until(m_now + seconds{9});
     ASSERT_FALSE(m_first_grants_to_b.empty());
