--- a/tests/ownership/holder_exploration_test.cpp
+++ b/tests/ownership/holder_exploration_test.cpp
@@ -74,5 +74,14 @@
     EXPECT_NE(explore_holders(world, 14).broken, "");
 }
 
+// Guards against an exploration that is too weak: a grant that is read after the keys have moved makes a
+// second holder if no release follows it on its connection.
+TEST(holder_exploration_test, release_that_is_not_sent_behind_a_grant_is_found) {
+    auto world = world_with_overdue_grant({.faults = 0, .moves = 1});
+    EXPECT_EQ(explore_holders(world, 8).broken, "");
+    world.sends_behind = false;
+    EXPECT_NE(explore_holders(world, 8).broken, "");
+}
+
 } // namespace
 } // namespace teaselcross::test
