Let answers to releases behind grants come after other answers

The small world noticed the answers to the releases behind a grant together with the answer to the grant.

--- a/tests/support/holder_explorer.cpp
+++ b/tests/support/holder_explorer.cpp
@@ -64,7 +64,7 @@
                 each.answer.value_or(command_result::done),
                 each.ended == instant{} ? 0 : (world.now - each.ended).count());
             add(each.command.to);
-            add(each.is_overdue, each.is_orphaned, each.behind.size(),
+            add(each.is_overdue, each.is_orphaned, each.has_release_answers, each.behind.size(),
                 each.closed == instant{} ? 0 : (world.now - each.closed).count());
             for (const auto& release : each.behind) {
                 add(release.first, release.last, release.fence);
--- a/tests/support/holder_world.h
+++ b/tests/support/holder_world.h
@@ -32,6 +32,7 @@
     bool is_overdue = false;  ///< The controller listens for the answer beyond the time limit of the call.
     bool is_orphaned = false; ///< The controller that sent it is gone.
     std::vector<holder_command> behind; ///< Releases that are read after it, on its connection.
+    bool has_release_answers = false;   ///< The controller has not noticed the answers to these yet.
     instant sent{};
     instant ended{};  ///< When the controller that sent it ended or aborted it, or counted it as overdue.
     instant closed{}; ///< When the connection of an overdue grant was closed.
