Test that a copy of a probe's answer is no answer to the grant

Red on: probe and grant go out on one pooled connection, answers carry no identity, and that of a target which holds nothing of the key may have no handover token. A copy of it that comes while the grant is under way counts as the grant's answer, done, although the grant has not been read.

Not known: whether users' targets leave the token out.

--- a/tests/gateway/holder_calls_test.cpp
+++ b/tests/gateway/holder_calls_test.cpp
@@ -179,6 +179,31 @@
     EXPECT_EQ(given.result, command_result::not_sent);
 }
 
+// Guards against a grant that counts as taken while it waits in the sockets of a target that does not read: a
+// late copy of the answer to the probe, which has no handover token if the target holds no key of it, was
+// taken for the answer to the grant.
+TEST(holder_calls, late_copy_of_the_answer_to_a_probe_does_not_answer_the_grant) {
+    auto context = asio::io_context{};
+    auto pool = connection_pool{context.get_executor(), {.reset_on_close = true}};
+    auto acceptor = asio::ip::tcp::acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+    asio::co_spawn(context, answer_twice(acceptor), asio::detached);
+    auto call = holder_call{.address = {.host = "127.0.0.1", .port = acceptor.local_endpoint().port()},
+                            .order = {.to = {.id = target_id{"a"}}, .last = 99, .fence = 3},
+                            .probe = holder_command{.kind = command_kind::release,
+                                                    .to = {.id = target_id{"a"}},
+                                                    .first = 100,
+                                                    .last = 100,
+                                                    .fence = 2},
+                            .timeout = call_timeout,
+                            .may_begin = [] { return true; }};
+    auto given = holder_answer{};
+    asio::co_spawn(
+        context, [&]() -> asio::awaitable<void> { given = co_await call_holder(pool, std::move(call)); },
+        asio::detached);
+    context.run();
+    EXPECT_NE(given.result, command_result::done);
+}
+
 // Guards against calls of a controller whose right to send orders has ended: a target that got the key
 // meanwhile could be asked to release it.
 TEST(holder_calls, no_probe_is_sent_without_the_right_to_send_orders) {
