Test that a late answer brings no earlier lease holder back

Red on: an instance that acknowledged the announcement of a new holder while its read of the lease was under way takes the answer, which is older, for the present lease. It then reports to the holder before, and campaigns no more while that one answers. The new holder's bound on the earlier one's right to send orders rests on that acknowledgement, so both could send orders.

Not measured: how often it happens with real processes.

--- a/tests/ownership/lease_test.cpp
+++ b/tests/ownership/lease_test.cpp
@@ -185,4 +185,17 @@
     EXPECT_TRUE(next_lease_write(state, true, false, start + std::chrono::seconds{3}));
 }
 
+// Guards against two controllers that both send orders: an instance that had acknowledged a new holder took a
+// late answer of the store for the present lease, and went on reporting to the holder before.
+TEST(lease, an_answer_from_before_an_announcement_brings_no_earlier_holder_back) {
+    auto state = candidate("c");
+    const auto earlier = lease_object{.holder = instance_id{"a"}, .epoch = 5, .renewals = 7, .era = 1};
+    on_lease_read(state, earlier, {.era = 1, .number = 10}, start);
+    const auto announced = lease_object{.holder = instance_id{"b"}, .epoch = 6, .era = 1};
+    ASSERT_TRUE(on_lease_announced(state, announced, start + std::chrono::milliseconds{300}));
+    on_lease_read(state, earlier, {.era = 1, .number = 10}, start + std::chrono::milliseconds{500});
+    EXPECT_EQ(state.last_known, announced);
+    EXPECT_FALSE(next_lease_write(state, true, true, start + std::chrono::milliseconds{500}));
+}
+
 } // namespace teaselcross::test
