Show that keys are granted to another while their former holder is known to hold them

Cause: the late answer of a former holder only asks it to release; the bound of the range is not raised, so a next holder that was never granted the keys gets them at the next tick.

--- /dev/null
+++ b/tests/ownership/late_answers_test.cpp
@@ -0,0 +1,128 @@
+// Answers to grants that come after the keys have moved on, or in another order than the target has read
+// what was sent to it.
+
+#include "ownership/holder_probe.h"
+#include "ownership/range_grantor.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace teaselcross::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto start = instant{seconds{10}};
+constexpr auto tick = milliseconds{40};
+const auto a = target_incarnation{.id = target_id{"a"}, .start_time_ms = 1};
+const auto b = target_incarnation{.id = target_id{"b"}, .start_time_ms = 1};
+
+auto write_now(range_grantor& state) -> void {
+    if (auto map = next_write(state)) {
+        on_written(state, *map, {.number = map->revision.number + 1});
+    }
+}
+
+/// Target "a" has the first range and "b" the second; the test says what becomes of each call.
+class late_answers_test : public testing::Test {
+protected:
+    late_answers_test() {
+        set_holders(m_state, {{a.id, {.incarnation = a, .eligible = true, .capacity = 10}},
+                              {b.id, {.incarnation = b, .eligible = true, .capacity = 10}}});
+        EXPECT_TRUE(assign_initial_ranges(m_state));
+        EXPECT_EQ(m_state.map.ranges.front().holder, a);
+        run_until(start + seconds{2}, command_result::done);
+    }
+
+    /// The calls that are due now.
+    auto due() -> std::vector<holder_command> {
+        write_now(m_state);
+        auto commands = due_commands(m_state, m_now);
+        for (auto& each : commands) {
+            each.call = ++m_calls;
+        }
+        return commands;
+    }
+
+    auto finish(const holder_command& command, command_result result, instant sent) -> void {
+        on_command_finished(m_state, command, result, "token", sent, m_now);
+    }
+
+    /// Each call to "a" ends at once with @a from_a; "b" answers each. The releases behind grants wait.
+    auto run_until(instant until, command_result from_a) -> void {
+        for (; m_now < until; m_now += tick) {
+            for (const auto& each : due()) {
+                if (each.behind != 0) {
+                    m_behind.push_back(each);
+                } else {
+                    finish(each, each.to == a ? from_a : command_result::done, m_now);
+                }
+            }
+        }
+    }
+
+    /// Waits for the next grant to "a" and makes it overdue; returns it and its time of sending.
+    auto make_overdue() -> std::pair<holder_command, instant> {
+        for (const auto until = m_now + seconds{2}; m_now < until; m_now += tick) {
+            auto overdue = std::optional<holder_command>{};
+            for (const auto& each : due()) {
+                if (each.to == a && each.kind == command_kind::grant) {
+                    overdue = each;
+                } else {
+                    finish(each, command_result::done, m_now);
+                }
+            }
+            if (overdue) {
+                const auto sent = m_now;
+                m_now += m_state.options.call_timeout;
+                finish(*overdue, command_result::overdue, sent);
+                return {*overdue, sent};
+            }
+        }
+        ADD_FAILURE() << "no grant to a";
+        return {};
+    }
+
+    auto move_first_range_to_b() -> void {
+        const auto range = m_state.map.ranges.front();
+        start_move(m_state, range.first, range.last, b);
+    }
+
+    range_grantor m_state;
+    instant m_now = start;
+    std::uint64_t m_calls = 0;
+    std::vector<holder_command> m_behind;
+};
+
+// Guards against a second owner that the controller knows of: a former holder says that it has taken its
+// grant only now, and the keys, which nobody had been granted since, are granted to the next holder all the
+// same.
+TEST_F(late_answers_test, keys_that_a_former_holder_has_just_taken_are_not_granted_to_another) {
+    const auto overdue = make_overdue().first;
+    move_first_range_to_b();
+    auto has_moved = false;
+    for (const auto until = m_now + seconds{30}; m_now < until && !has_moved; m_now += tick) {
+        for (const auto& each : due()) { // Nobody can be reached.
+            has_moved = has_moved || (each.to == b && each.is_first);
+            if (each.behind == 0) {
+                finish(each, command_result::not_sent, m_now);
+            }
+        }
+    }
+    ASSERT_TRUE(has_moved);
+    on_overdue_answer(m_state, overdue.call, command_result::done, m_now);
+    const auto held_until = m_now + m_state.options.grant_term;
+    for (; m_now < held_until; m_now += tick) {
+        for (const auto& each : due()) {
+            const auto is_second_owner = each.kind == command_kind::grant && each.to == b &&
+                                         each.first <= overdue.last && overdue.first <= each.last;
+            ASSERT_FALSE(is_second_owner) << (held_until - m_now).count() / 1000 << " ms too early";
+            // The releases to "a" stay unanswered.
+        }
+    }
+}
+
+} // namespace
+} // namespace teaselcross::test
