Show that a target that answers releases but no grant is given keys over and over

Cause: an answered release sets its consecutive failures back to 0, so that the target, which has no load, is the first choice of the next eviction.

--- a/tests/ownership/late_answers_test.cpp
+++ b/tests/ownership/late_answers_test.cpp
@@ -124,5 +124,30 @@
     }
 }
 
+// Guards against keys that come back again and again to a target that answers releases and probes, but no
+// grant: each time they have no owner until its grants have expired.
+TEST_F(late_answers_test, target_that_answers_no_grant_gets_no_keys_again_and_again) {
+    const auto c = target_incarnation{.id = target_id{"c"}, .start_time_ms = 1};
+    auto first_grants_to_a = 0;
+    const auto begin = m_now;
+    for (; m_now < begin + seconds{120}; m_now += tick) {
+        // "b" and "c" leave in turn, for half of the time each.
+        const auto is_c_leaving = (m_now - begin) % seconds{20} < seconds{10};
+        set_holders(
+            m_state,
+            {{a.id, {.incarnation = a, .eligible = true, .capacity = 10}},
+             {b.id, {.incarnation = b, .eligible = is_c_leaving, .leaving = !is_c_leaving, .capacity = 10}},
+             {c.id, {.incarnation = c, .eligible = !is_c_leaving, .leaving = is_c_leaving, .capacity = 10}}});
+        start_evictions(m_state, std::vector<double>(m_state.map.ranges.size(), 1.0), m_now);
+        for (const auto& each : due()) {
+            const auto is_grant_to_a = each.to == a && each.kind == command_kind::grant;
+            first_grants_to_a += is_grant_to_a && each.is_first && each.earlier_holder != a ? 1 : 0;
+            finish(each, is_grant_to_a ? command_result::unanswered : command_result::done, m_now);
+        }
+    }
+    // Each time that it is chosen it leaves four grants unanswered.
+    EXPECT_LE(first_grants_to_a, 2 * 4);
+}
+
 } // namespace
 } // namespace teaselcross::test
