--- a/tests/ownership/late_answers_test.cpp
+++ b/tests/ownership/late_answers_test.cpp
@@ -149,5 +149,44 @@
     EXPECT_LE(first_grants_to_a, 2 * 4);
 }
 
+// Guards against a key that is given away while its holder is at work on it: of two overdue grants on
+// different connections, the release behind the first was read before the second, and answered after it.
+TEST_F(late_answers_test, release_behind_one_grant_proves_nothing_about_another_one_that_was_read_after_it) {
+    const auto first = make_overdue().first;
+    const auto second = make_overdue().first;
+    move_first_range_to_b();
+    auto is_granted_to_b = false;
+    const auto run = [&](duration length) {
+        auto waiting = std::vector<holder_command>{};
+        for (const auto until = m_now + length; m_now < until; m_now += tick) {
+            for (const auto& each : due()) {
+                if (each.behind != 0) {
+                    m_behind.push_back(each);
+                } else if (each.to == b) {
+                    is_granted_to_b = is_granted_to_b || each.is_first;
+                    finish(each, command_result::done, m_now);
+                } else {
+                    waiting.push_back(each); // A release on a connection of its own: "a" is at work on a key.
+                }
+            }
+        }
+        return waiting;
+    };
+    const auto sent = m_now;
+    const auto waiting = run(m_state.options.release_timeout);
+    ASSERT_EQ(waiting.size(), 1U);
+    finish(waiting.front(), command_result::unanswered, sent);
+    const auto behind_first = std::find_if(m_behind.begin(), m_behind.end(),
+                                           [&](const auto& each) { return each.behind == first.call; });
+    ASSERT_NE(behind_first, m_behind.end());
+    // "a" has read the first grant, the release behind it, and the second grant.
+    on_overdue_answer(m_state, first.call, command_result::done, m_now);
+    on_overdue_answer(m_state, second.call, command_result::done, m_now);
+    m_now += tick;
+    on_release_behind_answered(m_state, *behind_first, "token");
+    run(milliseconds{500});
+    EXPECT_FALSE(is_granted_to_b) << "nothing that \"a\" has read after the second grant was answered";
+}
+
 } // namespace
 } // namespace teaselcross::test
