Show a grant under a fence of an earlier era after a lost record

Cause: due_command() passes over a move whose intent is not recorded and renews the old fence, which take_over_lost_record() had replaced.

--- a/tests/ownership/late_answers_test.cpp
+++ b/tests/ownership/late_answers_test.cpp
@@ -188,5 +188,27 @@
     EXPECT_FALSE(is_granted_to_b) << "nothing that \"a\" has read after the second grant was answered";
 }
 
+// Guards against a second owner after a lost record: a range whose next holder had to be replaced was granted
+// to its holder again, under the fence of the earlier era, above which another target may have the keys.
+TEST_F(late_answers_test, no_grant_under_a_fence_of_before_the_record_was_lost) {
+    auto state = range_grantor{};
+    auto known = key_map{.era = 1, .fences_used = 6};
+    known.ranges = {{.first = 0, .last = 32767, .fence = 5, .holder = a},
+                    {.first = 32768, .last = last_shard_key, .fence = 6, .holder = b}};
+    set_holders(state, {{a.id, {.incarnation = a, .eligible = true, .capacity = 10}},
+                        {b.id, {.incarnation = b, .eligible = true, .capacity = 10}}});
+    take_over_lost_record(state, known, start + seconds{1}, start + seconds{4}, start);
+    write_now(state);
+    set_holders(state, {{a.id, {.incarnation = a, .leaving = true, .capacity = 10}},
+                        {b.id, {.incarnation = b, .eligible = true, .capacity = 10}}});
+    start_evictions(state, {}, start + milliseconds{3900}); // The store does not answer any more.
+    for (auto now = start + milliseconds{3900}; now < start + seconds{6}; now += tick) {
+        for (const auto& each : due_commands(state, now)) {
+            ASSERT_FALSE(each.kind == command_kind::grant && each.fence <= 6) << each.fence;
+            on_command_finished(state, each, command_result::not_sent, "", now, now);
+        }
+    }
+}
+
 } // namespace
 } // namespace teaselcross::test
