--- a/tests/ownership/late_answers_test.cpp
+++ b/tests/ownership/late_answers_test.cpp
@@ -210,5 +210,34 @@
     }
 }
 
+// Guards against a probe that takes a key from the target that it is sent to: the only holder, which gets its
+// keys under a new fence, still has them under the one before.
+TEST_F(late_answers_test, probe_takes_nothing_from_a_holder_that_gets_a_new_fence) {
+    auto state = range_grantor{};
+    set_holders(state, {{a.id, {.incarnation = a, .eligible = true, .capacity = 10}}});
+    ASSERT_TRUE(assign_initial_ranges(state));
+    write_now(state);
+    auto now = start;
+    auto held_under = std::uint64_t{0};
+    auto is_refused = false;
+    for (; now < start + seconds{3}; now += tick) {
+        write_now(state);
+        for (const auto& each : due_commands(state, now)) {
+            if (each.kind == command_kind::grant && held_under > 0) {
+                const auto probe = make_probe(state.map, each);
+                EXPECT_LT(probe.fence, held_under) << "key " << probe.first;
+            }
+            // One renewal is refused: of a single key, the target has seen a higher fence.
+            const auto refuses = held_under > 0 && !is_refused && now > start + seconds{1};
+            is_refused = is_refused || refuses;
+            const auto result = refuses ? command_result::refused : command_result::done;
+            on_command_finished(state, each, result, "", now, now);
+            held_under =
+                result == command_result::done && each.kind == command_kind::grant ? each.fence : held_under;
+        }
+    }
+    ASSERT_TRUE(is_refused);
+}
+
 } // namespace
 } // namespace teaselcross::test
