--- a/src/libteaselcross/ownership/holder_probe.cpp
+++ b/src/libteaselcross/ownership/holder_probe.cpp
@@ -24,10 +24,9 @@
         std::max_element(map.ranges.begin(), map.ranges.end(), [](const auto& left, const auto& right) {
             return left.last - left.first < right.last - right.first;
         });
-    if (largest == map.ranges.end()) {
-        return make_release(grant, grant.first, grant.fence - 1);
-    }
-    return make_release(grant, largest->first + (largest->last - largest->first) / 2, largest->fence - 1);
+    const auto key =
+        largest == map.ranges.end() ? grant.first : largest->first + (largest->last - largest->first) / 2;
+    return make_release(grant, key, 0);
 }
 
 } // namespace teaselcross
--- a/src/libteaselcross/ownership/holder_probe.h
+++ b/src/libteaselcross/ownership/holder_probe.h
@@ -8,9 +8,8 @@
 namespace teaselcross {
 
 /// A call without effect to the process that @a grant is for: the release of a key that @a map gives to
-/// another target. If there is none, the release of a key of that process, under a fence that is below that
-/// of its grants. Thread safe.
-/// @pre the fence of @a grant is above 0.
+/// another target. If there is none, the release of a key under fence 0, below that of any grant. Thread
+/// safe.
 auto make_probe(const key_map& map, const holder_command& grant) -> holder_command;
 
 } // namespace teaselcross
--- a/src/libteaselcross/ownership/lease.cpp
+++ b/src/libteaselcross/ownership/lease.cpp
@@ -61,6 +61,9 @@
     if (version.era < known_era) {
         return; // An answer from before the store was restored.
     }
+    if (object && state.last_known && object->era == version.era && is_earlier(*object, *state.last_known)) {
+        return; // An answer from before the announcement of a later holder.
+    }
     const auto is_lost = (object ? object->era : known_era) < version.era && (object || state.last_known);
     if (!state.is_up_to_date || state.is_lost != is_lost || (!is_lost && state.last_known != object)) {
         state.unchanged_since = now;
--- a/src/libteaselcross/ownership/overdue_answers.cpp
+++ b/src/libteaselcross/ownership/overdue_answers.cpp
@@ -70,7 +70,7 @@
             add_revived_grant(
                 state.former,
                 {.first = keys.first, .last = keys.last, .fence = grant->fence, .holder = grant->holder},
-                now);
+                until, now);
             state.changed = true;
         }
     }
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -6,32 +6,6 @@
 
 namespace teaselcross {
 
-auto longest_term(const range_grantor_options& options) -> duration {
-    const auto slack = duration{
-        static_cast<duration::rep>(static_cast<double>(options.grant_term.count()) * options.clock_drift)};
-    return options.grant_term + slack + options.margin;
-}
-
-auto progress_of(range_grantor& state, const key_range& range) -> range_progress& {
-    return state.progress[range.fence][range.first];
-}
-
-auto on_acknowledged(range_progress& progress, std::uint64_t call, instant now) -> void {
-    if (call == 0 || call != progress.answered_call) {
-        progress.other_answered_at = progress.answered_at;
-    }
-    progress.answered_at = now;
-    progress.answered_call = call;
-    progress.released = false;
-}
-
-auto set_next_holder(range_grantor& state, key_range& range, const target_incarnation& to) -> void {
-    range.next = to;
-    range.next_fence = ++state.map.fences_used;
-    state.unrecorded_intents.insert(range.next_fence);
-    state.changed = true;
-}
-
 namespace {
 
 constexpr auto all_keys = key_span{.first = 0, .last = last_shard_key};
@@ -154,7 +128,8 @@
 
 /// The command that @a range needs now, if any.
 auto due_command(range_grantor& state, key_range& range, instant now) -> std::optional<holder_command> {
-    if (range.is_moving() && is_intent_recorded(state, range)) {
+    const auto is_held = is_held_by_former(state.former, range, now);
+    if (range.is_moving() && is_intent_recorded(state, range) && !is_held) {
         if (const auto proof = find_proof(state, range, progress_of(state, range), now)) {
             transfer_to_next(state, range, *proof, now);
         }
@@ -173,6 +148,9 @@
         progress.release_requested = true;
         return make_command(state, range, *process, command_kind::release, progress);
     }
+    if (is_held && !progress.confirmed) {
+        return std::nullopt;
+    }
     if (progress.release_requested || *process != range.holder) {
         return std::nullopt; // The intent of a move is not recorded yet.
     }
@@ -401,11 +379,15 @@
     if (result == command_result::done || result == command_result::refused) {
         on_later_answer(state.overdue, command.to.id, sent, now);
     }
-    if (command.kind == command_kind::release && result == command_result::done) {
-        holder.consecutive_failures = 0; // A target without keys is sent no grants that would show it.
+    // A target without keys is sent no grants that would show that it answers again. One that answers
+    // releases all the while, but no grants, has not changed.
+    const auto is_later = sent >= holder.failed_at + options.late_reading;
+    if (command.kind == command_kind::release && result == command_result::done && is_later) {
+        holder.consecutive_failures = 0;
     }
     if (command.kind == command_kind::grant) {
         const auto succeeded = result == command_result::done;
+        holder.failed_at = succeeded || result == command_result::refused ? holder.failed_at : now;
         holder.consecutive_failures =
             succeeded ? 0 : holder.consecutive_failures + (result == command_result::refused ? 0 : 1);
         if (result == command_result::unanswered) {
--- /dev/null
+++ b/src/libteaselcross/ownership/range_grantor_parts.cpp
@@ -0,0 +1,31 @@
+#include "ownership/range_grantor_parts.h"
+
+namespace teaselcross {
+
+auto longest_term(const range_grantor_options& options) -> duration {
+    const auto slack = duration{
+        static_cast<duration::rep>(static_cast<double>(options.grant_term.count()) * options.clock_drift)};
+    return options.grant_term + slack + options.margin;
+}
+
+auto progress_of(range_grantor& state, const key_range& range) -> range_progress& {
+    return state.progress[range.fence][range.first];
+}
+
+auto on_acknowledged(range_progress& progress, std::uint64_t call, instant now) -> void {
+    if (call == 0 || call != progress.answered_call) {
+        progress.other_answered_at = progress.answered_at;
+    }
+    progress.answered_at = now;
+    progress.answered_call = call;
+    progress.released = false;
+}
+
+auto set_next_holder(range_grantor& state, key_range& range, const target_incarnation& to) -> void {
+    range.next = to;
+    range.next_fence = ++state.map.fences_used;
+    state.unrecorded_intents.insert(range.next_fence);
+    state.changed = true;
+}
+
+} // namespace teaselcross
--- a/src/libteaselcross/ownership/range_takeover.cpp
+++ b/src/libteaselcross/ownership/range_takeover.cpp
@@ -38,8 +38,13 @@
     state.lost_grants_until = lost_grants_until;
     state.progress.clear();
     for (auto& range : state.map.ranges) {
+        if (range.is_moving()) {
+            add_replaced_destination(state.former, range, range.next,
+                                     std::max(moves_allowed_from, lost_grants_until));
+        }
         set_next_holder(state, range, range.holder);
-        progress_of(state, range) = {.next_call_at = now};
+        // Nothing is granted under the fences of before.
+        progress_of(state, range) = {.next_call_at = now, .release_requested = true};
     }
 }
 
--- a/src/libteaselcross/ownership/stale_grants.cpp
+++ b/src/libteaselcross/ownership/stale_grants.cpp
@@ -93,7 +93,8 @@
     }
 }
 
-auto add_revived_grant(stale_grants& state, const key_range& range, instant now) -> void {
+auto add_revived_grant(stale_grants& state, const key_range& range, instant may_hold_until, instant now)
+    -> void {
     auto known_keys = shard_key{0};
     for (auto& each : state.entries) {
         const auto is_known = each.holder.id == range.holder.id && each.fence == range.fence &&
@@ -103,14 +104,23 @@
             each.next_call_at = now;
             each.watched_until = now + state.options.watch_time;
             each.is_call_outdated = each.call_pending;
+            each.may_hold_until = may_hold_until;
             known_keys += each.last - each.first + 1;
         }
     }
     if (known_keys < range.last - range.first + 1) {
         add_stale_grant(state, range, now);
+        state.entries.back().may_hold_until = may_hold_until;
     }
 }
 
+auto is_held_by_former(const stale_grants& state, const key_range& range, instant now) -> bool {
+    return std::any_of(state.entries.begin(), state.entries.end(), [&](const auto& each) {
+        return each.releases == 0 && now < each.may_hold_until && each.first <= range.last &&
+               range.first <= each.last;
+    });
+}
+
 auto resume_stale_grants(stale_grants& state, const std::vector<former_holding>& recorded, instant now)
     -> void {
     state.entries.clear();
--- a/src/libteaselcross/ownership/stale_grants.h
+++ b/src/libteaselcross/ownership/stale_grants.h
@@ -33,6 +33,9 @@
     std::uint32_t releases = 0; ///< Releases that the holder has acknowledged.
     bool is_reachable = true;   ///< Whether the last release could be sent to the holder.
     bool call_pending = false;
+    /// A holder that has taken the grant late may hold the keys until then, unless it has released them
+    /// since.
+    instant may_hold_until{};
     bool is_call_outdated = false; ///< The pending call may have been read before the grant.
 };
 
@@ -50,9 +53,14 @@
 auto add_replaced_destination(stale_grants& state, const key_range& range,
                               const target_incarnation& possible_holder, instant now) -> void;
 
-/// Records that the former holder of @a range has taken its grant only at @a now. What it released before
-/// does not count, and it is asked at once.
-auto add_revived_grant(stale_grants& state, const key_range& range, instant now) -> void;
+/// Records that the former holder of @a range has taken its grant only at @a now, and may hold it until
+/// @a may_hold_until. What it released before does not count, and it is asked at once.
+auto add_revived_grant(stale_grants& state, const key_range& range, instant may_hold_until, instant now)
+    -> void;
+
+/// Whether a former holder is known to have taken a grant of keys of @a range late, and neither has released
+/// them since nor has the grant expired.
+auto is_held_by_former(const stale_grants& state, const key_range& range, instant now) -> bool;
 
 /// Begins with the former holders that an earlier controller has recorded, in place of all earlier entries.
 auto resume_stale_grants(stale_grants& state, const std::vector<former_holding>& recorded, instant now)
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -36,9 +36,9 @@
 
 /// How long the answer to a grant is awaited in all. A target that was suspended may answer long after the
 /// time limit of the call.
-constexpr auto overdue_limit = duration{std::chrono::seconds{60}};
+constexpr auto overdue_limit = duration{std::chrono::seconds{20}};
 /// With so many grants whose answers are awaited beyond their time limit, a target gets no further one.
-constexpr auto max_overdue_grants = std::size_t{8};
+constexpr auto max_overdue_grants = std::size_t{32};
 
 /// Logs the answer to a grant that came after the time limit of the call, or that there will be none.
 /// @a is_awaited: the term in which it was sent goes on.
@@ -299,16 +299,20 @@
     const auto found = m_services.find(service);
     if (m_term == term && found != m_services.end()) {
         on_command_finished(found->second.grantor, order, answer.result, answer.handover, answer.sent, now);
-        if (answer.overdue) {
+        if (answer.overdue && m_is_controller) {
             m_overdue_grants[order.call] = {.target = order.to.id, .exchange = answer.overdue};
             asio::co_spawn(m_executor,
                            await_overdue_grant(std::move(service), std::move(order), std::move(answer)),
                            asio::detached);
+            co_return;
         }
     } else if (m_is_controller && is_grant && answer.result != command_result::not_sent) {
         // An order of an earlier term of this process has ended only now.
         set_earliest_move(std::max(m_earliest_move, now + max_remaining_hold(limits)));
     }
+    if (answer.overdue) {
+        answer.overdue->abort(); // The term in which it was sent has ended.
+    }
 }
 
 auto controller::count_overdue_grants(const target_id& target) const -> std::size_t {
@@ -320,7 +324,7 @@
 /// Sends a release on the connection of the overdue grant that it follows.
 auto controller::send_behind_grant(holder_command release) -> asio::awaitable<void> {
     const auto found = m_overdue_grants.find(release.behind);
-    if (found != m_overdue_grants.end()) {
+    if (found != m_overdue_grants.end() && may_send_orders(monotonic_now())) {
         auto exchange = found->second.exchange;
         co_await grant_exchange::send_behind(std::move(exchange), std::move(release),
                                              make_grant_options().release_timeout);
@@ -335,12 +339,14 @@
     const auto term = m_term;
     co_await exchange->wait(answer.sent + 2 * overdue_limit);
     const auto result = exchange->result();
-    const auto is_awaited = m_overdue_grants.erase(order.call) > 0;
+    const auto is_awaited = m_overdue_grants.erase(order.call) > 0 && m_term == term && m_is_controller;
     log_overdue_answer(service, order, result, answer.sent, monotonic_now(), is_awaited);
     if (is_awaited) {
         auto& state = m_services[service];
         on_overdue_answer(state.grantor, order.call, result, monotonic_now());
-        tick_service(service, state, monotonic_now());
+        if (may_send_orders(monotonic_now())) {
+            tick_service(service, state, monotonic_now()); // A former holder is asked at once.
+        }
     }
     while (m_term == term && m_is_controller) {
         const auto asked_at = monotonic_now();
--- a/src/teaselcross/gateway/holder_calls.cpp
+++ b/src/teaselcross/gateway/holder_calls.cpp
@@ -70,11 +70,15 @@
     }
     auto token = std::string{};
     const auto response = http_response{opened->header()};
-    if (was_used && platform::read_order_answer(*call.probe, response, token) != command_result::done) {
-        abort_exchange(*opened);
+    if (platform::read_order_answer(*call.probe, response, token) == command_result::done) {
+        end_exchange(pool, std::move(*opened));
+        co_return probe_answer::reading;
+    }
+    // Without a token, a late copy of it would be taken for the answer to a grant.
+    abort_exchange(*opened);
+    if (was_used) {
         co_return probe_answer::unclear;
     }
-    end_exchange(pool, std::move(*opened));
     co_return probe_answer::reading;
 }
 
