--- a/tests/ownership/holder_probe_test.cpp
+++ b/tests/ownership/holder_probe_test.cpp
@@ -79,9 +79,7 @@
                     static_cast<int>(std::count_if(probes.begin(), probes.end(), [&](const auto& probe) {
                         return is_affected_by(command, probe);
                     }));
-                if (const auto probe = make_probe(state.map, command)) {
-                    probes.push_back(*probe);
-                }
+                probes.push_back(make_probe(state.map, command));
             }
             on_command_finished(state, command, result, result == command_result::done ? "token" : "", now,
                                 now);
