A target is back only if a release had failed too

A target that answers releases all the while, but no grants, was given keys again and again (late_answers_test, 44 first grants in 120 s, red before).

--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -379,15 +379,14 @@
     if (result == command_result::done || result == command_result::refused) {
         on_later_answer(state.overdue, command.to.id, sent, now);
     }
-    // A target without keys is sent no grants that would show that it answers again. One that answers
-    // releases all the while, but no grants, has not changed.
-    const auto is_later = sent >= holder.failed_at + options.late_reading;
-    if (command.kind == command_kind::release && result == command_result::done && is_later) {
-        holder.consecutive_failures = 0;
+    if (command.kind == command_kind::release) {
+        // A target without keys is sent no grants that would show that it answers again.
+        const auto is_back = result == command_result::done && holder.has_failed_release;
+        holder.consecutive_failures = is_back ? 0 : holder.consecutive_failures;
+        holder.has_failed_release = result != command_result::done;
     }
     if (command.kind == command_kind::grant) {
         const auto succeeded = result == command_result::done;
-        holder.failed_at = succeeded || result == command_result::refused ? holder.failed_at : now;
         holder.consecutive_failures =
             succeeded ? 0 : holder.consecutive_failures + (result == command_result::refused ? 0 : 1);
         if (result == command_result::unanswered) {
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -75,7 +75,7 @@
 
 struct holder_responses {
     std::uint32_t consecutive_failures = 0; ///< Consecutive grants without a reply.
-    instant failed_at{};                    ///< When the last of them ended.
+    bool has_failed_release = false;        ///< A release failed too since the target last answered one.
     instant uncertain_until{};              ///< An unanswered grant may take effect until then.
 };
 
--- a/tests/support/holder_explorer.cpp
+++ b/tests/support/holder_explorer.cpp
@@ -35,7 +35,7 @@
         }
         add(state.responses.size());
         for (const auto& [id, each] : state.responses) {
-            add(index_of(id), each.consecutive_failures, each.uncertain_until,
+            add(index_of(id), each.consecutive_failures, each.has_failed_release, each.uncertain_until,
                 each.uncertain_until != instant{});
         }
         add(state.former.entries.size());
