--- /dev/null
+++ b/src/libteaselcross/ownership/overdue_grants.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// Grants whose answers are awaited beyond the time limit of their calls. An answer shows that the target has
+// read the grant by then, and so until when it may hold the keys.
+
+#include "ownership/holder_command.h"
+
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace teaselcross {
+
+/// A range of keys, both inclusive.
+struct key_span {
+    shard_key first = 0;
+    shard_key last = 0;
+
+    auto operator==(const key_span&) const -> bool = default;
+};
+
+struct overdue_grant {
+    std::uint64_t call = 0;
+    target_incarnation holder;
+    key_span keys;
+    std::uint64_t fence = 0;
+    instant sent{};
+    /// Without an answer, the grant counts as expired by then, if it was read within the usual time.
+    instant may_hold_until{};
+    /// When the target first answered another call that was sent after the grant, if it did.
+    instant later_answer_at{};
+    std::vector<key_span> released; ///< Keys whose release was sent behind the grant, on its connection.
+};
+
+struct overdue_grant_options {
+    /// A target that answers a call has read what was sent before that call, apart from the calls of other
+    /// connections that it gets to within this time.
+    duration reading_spread = std::chrono::milliseconds{1000};
+    /// A target that is listed, keeps the connection and answers nothing may read the grant until so long
+    /// after it was sent. Then its keys move all the same.
+    duration longest_reading = std::chrono::seconds{12};
+};
+
+struct overdue_grants {
+    overdue_grant_options options;
+    std::vector<overdue_grant> entries;
+};
+
+/// Records a grant whose answer is still awaited.
+auto add_overdue_grant(overdue_grants& state, const holder_command& grant, instant sent,
+                       instant may_hold_until) -> void;
+
+/// Records that @a holder has answered a call that was sent at @a sent.
+auto on_later_answer(overdue_grants& state, const target_id& holder, instant sent, instant now) -> void;
+
+/// Removes the grant that was sent with @a call, which has been answered or whose connection has ended.
+/// Returns nothing if there is none.
+auto take_overdue_grant(overdue_grants& state, std::uint64_t call) -> std::optional<overdue_grant>;
+
+/// Whether the answer to a grant to @a holder is still awaited.
+auto is_awaited(const overdue_grants& state, const target_id& holder) -> bool;
+
+/// Whether a grant of some of @a keys to @a holder may still be in force, or be read and come into force.
+/// @a present is the process of the target that is listed, if there is one; @a longest_term the longest time
+/// for which a grant is in force.
+auto has_uncertain_grant(const overdue_grants& state, const target_id& holder, const key_span& keys,
+                         const std::optional<target_incarnation>& present, duration longest_term, instant now)
+    -> bool;
+
+/// Returns the releases to send behind overdue grants, on their connections: of keys that by @a map are
+/// moving away from their holder, or have moved; not for moves that are not recorded yet. The target reads
+/// them after the grant, however late that is.
+auto due_releases_behind(overdue_grants& state, const key_map& map,
+                         const std::set<std::uint64_t>& unrecorded_intents, instant now)
+    -> std::vector<holder_command>;
+
+} // namespace teaselcross
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -1,4 +1,4 @@
-#include "ownership/range_grantor.h"
+#include "ownership/range_grantor_parts.h"
 
 #include <algorithm>
 #include <cmath>
@@ -8,15 +8,23 @@
 
 namespace {
 
-/// The longest time for which a holder with the slowest clock may use a grant, counted from its arrival.
-auto longest_term(const range_grantor_options& options) -> duration {
-    const auto slack = duration{
-        static_cast<duration::rep>(static_cast<double>(options.grant_term.count()) * options.clock_drift)};
-    return options.grant_term + slack + options.margin;
+constexpr auto all_keys = key_span{.first = 0, .last = last_shard_key};
+
+/// Whether a grant of @a keys whose answer is still awaited can take effect at @a holder.
+auto has_overdue_grant(const range_grantor& state, const target_id& holder, const key_span& keys, instant now)
+    -> bool {
+    const auto listed = state.holders.find(holder);
+    const auto present =
+        listed != state.holders.end() ? std::optional{listed->second.incarnation} : std::nullopt;
+    return has_uncertain_grant(state.overdue, holder, keys, present, longest_term(state.options), now);
 }
 
-auto progress_of(range_grantor& state, const key_range& range) -> range_progress& {
-    return state.progress[range.fence][range.first];
+/// Whether no unanswered grant of @a keys can still take effect at @a holder.
+auto has_no_uncertain_grant(const range_grantor& state, const target_id& holder, const key_span& keys,
+                            instant now) -> bool {
+    const auto responses = state.responses.find(holder);
+    return !has_overdue_grant(state, holder, keys, now) &&
+           (responses == state.responses.end() || now >= responses->second.uncertain_until);
 }
 
 auto has_newer_incarnation(const range_grantor& state, const target_incarnation& incarnation) -> bool {
@@ -25,12 +33,6 @@
            found->second.incarnation.start_time_ms > incarnation.start_time_ms;
 }
 
-/// Whether no unanswered grant can still take effect at @a holder.
-auto has_no_uncertain_grant(const range_grantor& state, const target_id& holder, instant now) -> bool {
-    const auto responses = state.responses.find(holder);
-    return responses == state.responses.end() || now >= responses->second.uncertain_until;
-}
-
 /// The proof that no command that was sent can still make the holder of @a range hold the keys, if there is
 /// one.
 auto find_proof(const range_grantor& state, const key_range& range, const range_progress& progress,
@@ -49,11 +51,14 @@
         return std::nullopt;
     }
     // A release by the holder proves nothing about another target that may hold the keys.
+    const auto keys = key_span{.first = range.first, .last = range.last};
     if (progress.released && !has_other_possible_holder &&
-        has_no_uncertain_grant(state, range.holder.id, now)) {
+        has_no_uncertain_grant(state, range.holder.id, keys, now)) {
         return has_newer_incarnation(state, range.holder) ? move_proof::restarted : move_proof::released;
     }
-    return now >= progress.may_hold_until ? std::optional{move_proof::expired} : std::nullopt;
+    const auto is_expired =
+        now >= progress.may_hold_until && !has_overdue_grant(state, range.holder.id, keys, now);
+    return is_expired ? std::optional{move_proof::expired} : std::nullopt;
 }
 
 /// Whether @a holder may have an aborted grant in its sockets, from this controller or the one before.
@@ -62,7 +67,7 @@
         return at != instant{} && now < at + state.former.options.watch_time;
     };
     const auto responses = state.responses.find(holder);
-    return is_recent(state.taken_over_at) ||
+    return is_awaited(state.overdue, holder) || is_recent(state.taken_over_at) ||
            (responses != state.responses.end() && is_recent(responses->second.uncertain_until));
 }
 
@@ -123,7 +128,8 @@
 
 /// The command that @a range needs now, if any.
 auto due_command(range_grantor& state, key_range& range, instant now) -> std::optional<holder_command> {
-    if (range.is_moving() && is_intent_recorded(state, range)) {
+    const auto is_held = is_held_by_former(state.former, range, now);
+    if (range.is_moving() && is_intent_recorded(state, range) && !is_held) {
         if (const auto proof = find_proof(state, range, progress_of(state, range), now)) {
             transfer_to_next(state, range, *proof, now);
         }
@@ -142,6 +148,9 @@
         progress.release_requested = true;
         return make_command(state, range, *process, command_kind::release, progress);
     }
+    if (is_held && !progress.confirmed) {
+        return std::nullopt;
+    }
     if (progress.release_requested || *process != range.holder) {
         return std::nullopt; // The intent of a move is not recorded yet.
     }
@@ -233,7 +242,7 @@
                         const std::map<target_id, double>& loads, instant now) -> const key_holder* {
     const auto restarted = has_newer_incarnation(state, range.holder);
     const auto certain =
-        now >= state.moves_allowed_from && has_no_uncertain_grant(state, range.holder.id, now);
+        now >= state.moves_allowed_from && has_no_uncertain_grant(state, range.holder.id, all_keys, now);
     const auto* other = least_loaded(state, loads, range.holder.id);
     if (restarted && (!certain || other == nullptr)) {
         const auto& self = state.holders.at(range.holder.id);
@@ -242,62 +251,12 @@
     return other;
 }
 
-auto set_next_holder(range_grantor& state, key_range& range, const target_incarnation& to) -> void {
-    range.next = to;
-    range.next_fence = ++state.map.fences_used;
-    state.unrecorded_intents.insert(range.next_fence);
-    state.changed = true;
-}
-
 } // namespace
 
 auto max_remaining_hold(const range_grantor_options& options) -> duration {
     return longest_term(options) + options.call_timeout + options.late_reading;
 }
 
-auto take_over(range_grantor& state, key_map map, instant moves_allowed_from, instant now) -> void {
-    state.map = std::move(map);
-    state.map.fences_used = std::max(state.map.fences_used, first_fence(state.map.era));
-    state.record_lost = false;
-    state.moves_allowed_from = moves_allowed_from;
-    state.progress.clear();
-    state.unrecorded_intents.clear();
-    state.responses.clear();
-    resume_stale_grants(state.former, state.map.former_holdings, now);
-    state.taken_over_at = now;
-    state.changed = !state.map.ranges.empty();
-    state.writing = false;
-    state.recorded_era = 0;
-    state.owns_record = false;
-    for (const auto& range : state.map.ranges) {
-        progress_of(state, range) = {.may_hold_until =
-                                         std::max(moves_allowed_from, now + longest_term(state.options)),
-                                     .next_call_at = now,
-                                     .release_requested = range.is_moving(),
-                                     .possible_holder = range.next};
-    }
-}
-
-auto take_over_lost_record(range_grantor& state, key_map last_known, instant moves_allowed_from,
-                           instant lost_grants_until, instant now) -> void {
-    take_over(state, std::move(last_known), moves_allowed_from, now);
-    state.record_lost = true;
-    state.map.holders_uncertain = true;
-    state.lost_grants_until = lost_grants_until;
-    state.progress.clear();
-    for (auto& range : state.map.ranges) {
-        set_next_holder(state, range, range.holder);
-        progress_of(state, range) = {.next_call_at = now};
-    }
-}
-
-auto rewrite_record(range_grantor& state, const store_revision& version) -> void {
-    state.map.revision = version;
-    state.map.era = version.era;
-    state.map.fences_used = std::max(state.map.fences_used, first_fence(version.era));
-    state.changed = !state.map.ranges.empty();
-}
-
 auto set_holders(range_grantor& state, std::map<target_id, key_holder> holders) -> void {
     for (const auto& [id, holder] : holders) {
         const auto known = state.holders.find(id);
@@ -396,6 +355,10 @@
             commands.push_back(std::move(*command));
         }
     }
+    auto behind = due_releases_behind(state.overdue, state.map, state.unrecorded_intents, now);
+    // They are sent before the grants to the next holders.
+    commands.insert(commands.begin(), std::make_move_iterator(behind.begin()),
+                    std::make_move_iterator(behind.end()));
     auto present = std::set<target_incarnation>{};
     for (const auto& [id, holder] : state.holders) {
         present.insert(holder.incarnation);
@@ -413,12 +376,23 @@
     const auto latest_end =
         std::max(now, sent + options.call_timeout) + options.late_reading + longest_term(options);
     on_stale_release_finished(state.former, command, result, now);
+    if (result == command_result::done || result == command_result::refused) {
+        on_later_answer(state.overdue, command.to.id, sent, now);
+    }
+    if (command.kind == command_kind::release) {
+        // A target without keys is sent no grants that would show that it answers again.
+        const auto is_back = result == command_result::done && holder.has_failed_release;
+        holder.consecutive_failures = is_back ? 0 : holder.consecutive_failures;
+        holder.has_failed_release = result != command_result::done;
+    }
     if (command.kind == command_kind::grant) {
         const auto succeeded = result == command_result::done;
         holder.consecutive_failures =
             succeeded ? 0 : holder.consecutive_failures + (result == command_result::refused ? 0 : 1);
         if (result == command_result::unanswered) {
             holder.uncertain_until = std::max(holder.uncertain_until, latest_end);
+        } else if (result == command_result::overdue) {
+            add_overdue_grant(state.overdue, command, sent, latest_end);
         }
     }
     // The range may have been split since the call; the result applies to each part.
@@ -429,7 +403,8 @@
         auto& progress = progress_of(state, range);
         progress.call_pending = false;
         if (command.kind == command_kind::release) {
-            progress.released = result == command_result::done;
+            // A release that was sent before the answer to a grant may have been read before that grant.
+            progress.released = result == command_result::done && sent >= progress.answered_at;
             progress.handover = result == command_result::done ? handover : std::string{};
             progress.next_call_at = now + options.retry_delay;
             continue;
@@ -437,11 +412,11 @@
         if (result == command_result::not_sent) {
             progress.may_hold_until = progress.previous_may_hold_until;
         }
-        if (result == command_result::unanswered) {
+        if (result == command_result::unanswered || result == command_result::overdue) {
             progress.may_hold_until = std::max(progress.may_hold_until, latest_end);
         }
         if (result == command_result::done) {
-            progress.answered_at = now;
+            on_acknowledged(progress, command.call, now);
             progress.may_hold_until = std::max(progress.previous_may_hold_until, now + longest_term(options));
             state.changed = state.changed || !progress.confirmed;
             progress.confirmed = true;
@@ -487,6 +462,10 @@
     return !state.record_lost && (is_written || is_empty);
 }
 
+auto is_certain(const range_grantor& state, const target_id& holder, instant now) -> bool {
+    return !is_awaited(state.overdue, holder) && has_no_uncertain_grant(state, holder, all_keys, now);
+}
+
 auto is_served(const range_grantor& state, std::size_t index) -> bool {
     const auto& range = state.map.ranges[index];
     const auto by_fence = state.progress.find(range.fence);
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -15,6 +15,7 @@
 // See Gray and Cheriton, "Leases" (1989), and, for the fencing tokens, Burrows, "The Chubby lock service"
 // (2006).
 
+#include "ownership/overdue_grants.h"
 #include "ownership/stale_grants.h"
 
 #include <map>
@@ -65,6 +66,8 @@
     target_incarnation possible_holder;
     std::string handover;                ///< Handover token from the last holder, sent with the next grant.
     instant answered_at{};               ///< When the holder last acknowledged a grant of the keys.
+    std::uint64_t answered_call = 0;     ///< The call of that grant.
+    instant other_answered_at{};         ///< When it last acknowledged a grant by another call.
     target_incarnation earlier_holder;   ///< The holder before this fence, if there was one.
     instant earlier_answered_at{};       ///< When that one last acknowledged a grant.
     move_proof proof = move_proof::none; ///< Why the keys were free.
@@ -72,6 +75,7 @@
 
 struct holder_responses {
     std::uint32_t consecutive_failures = 0; ///< Consecutive grants without a reply.
+    bool has_failed_release = false;        ///< A release failed too since the target last answered one.
     instant uncertain_until{};              ///< An unanswered grant may take effect until then.
 };
 
@@ -87,6 +91,7 @@
     std::map<std::uint64_t, std::map<shard_key, range_progress>> progress; ///< By fence, then first key.
     std::map<target_id, key_holder> holders;
     std::map<target_id, holder_responses> responses;
+    overdue_grants overdue;       ///< Grants whose answers are awaited beyond their time limit.
     stale_grants former;          ///< What former holders may still take for valid.
     instant taken_over_at{};      ///< When take_over() was called.
     instant moves_allowed_from{}; ///< Grants of an earlier controller may be valid until then.
@@ -135,6 +140,15 @@
 auto on_command_finished(range_grantor& state, const holder_command& command, command_result result,
                          const std::string& handover, instant sent, instant now) -> void;
 
+/// Records the answer to a grant that was `overdue`, or with `unanswered` that there will be none. @a call
+/// identifies the grant. A former holder that has read it only now is asked to release its keys at once.
+auto on_overdue_answer(range_grantor& state, std::uint64_t call, command_result result, instant now) -> void;
+
+/// Records that the release @a command, which was sent behind an overdue grant, was answered after that
+/// grant.
+auto on_release_behind_answered(range_grantor& state, const holder_command& command,
+                                const std::string& handover) -> void;
+
 /// Returns the map to write to the store now, if any; `writing` stays set until on_written().
 auto next_write(range_grantor& state) -> std::optional<key_map>;
 /// The map could not be written, and another attempt is needed.
@@ -145,6 +159,9 @@
 /// Whether the store has in @a era a record of all ranges, and no grant is missing from it.
 auto is_recorded(const range_grantor& state, std::uint64_t era) -> bool;
 
+/// Whether each grant to @a holder was answered, or its connection has ended and it has expired since.
+auto is_certain(const range_grantor& state, const target_id& holder, instant now) -> bool;
+
 /// Whether range @a index is not moving and its holder has acknowledged the grant.
 auto is_served(const range_grantor& state, std::size_t index) -> bool;
 
--- a/src/teaselcross/gateway/controller_lease.cpp
+++ b/src/teaselcross/gateway/controller_lease.cpp
@@ -293,7 +293,7 @@
             return false; // The stored key map names holders that have changed since.
         }
         for (const auto& [id, answers] : state.grantor.responses) {
-            if (answers.uncertain_until > now) {
+            if (!is_certain(state.grantor, id, now)) {
                 return false;
             }
         }
@@ -339,6 +339,7 @@
     }
     log::info("controller_ended", {{"term", m_term}, {"reason", reason}});
     m_is_controller = false;
+    abort_overdue_grants();
     m_last_holder_answer = {};
     m_lease.held_until.reset();
 }
--- a/tests/support/holder_world.cpp
+++ b/tests/support/holder_world.cpp
@@ -1,7 +1,8 @@
 #include "support/holder_world.h"
 
+#include "support/holder_calls.h"
+
 #include <algorithm>
-#include <sstream>
 
 namespace teaselcross::test {
 
@@ -17,182 +18,12 @@
 
 using std::chrono::milliseconds;
 
-auto describe(const holder_command& command) -> std::string {
-    auto text = std::ostringstream{};
-    text << name_in(command_kind_names, command.kind) << " to " << command.to.id.value() << " (process "
-         << command.to.start_time_ms << ") keys " << command.first << "-" << command.last << " fence "
-         << command.fence;
-    if (command.kind == command_kind::grant) {
-        text << " proof " << name_in(move_proof_names, command.proof);
-    }
-    return text.str();
-}
-
-auto note(const holder_world& world, chooser& choices, const std::string& what) -> void {
-    if (choices.is_traced()) {
-        const auto at = std::chrono::duration_cast<milliseconds>(world.now - world_start).count();
-        choices.trace(std::to_string(at) + " ms: " + what);
-    }
-}
-
-/// How long a process with the slowest clock uses a grant.
-auto longest_hold(const holder_world& world) -> duration {
-    const auto& options = world.controller.options;
-    return duration{static_cast<duration::rep>(static_cast<double>(options.grant_term.count()) *
-                                               (1 + options.clock_drift + world.excess_drift))};
-}
-
-auto timeout_of(const holder_world& world, const holder_command& command) -> duration {
-    const auto& options = world.controller.options;
-    return command.kind == command_kind::grant ? options.call_timeout : options.release_timeout;
-}
-
-auto first_key(std::size_t half) -> shard_key {
-    return half == 0 ? 0 : (last_shard_key + 1) / 2;
-}
-
-/// The process at the address of @a command carries it out.
-auto carry_out(holder_world& world, const holder_command& command) -> command_result {
-    auto& halves = world.targets[index_of(command.to.id)].halves;
-    const auto concerns = [&command](std::size_t half) {
-        return command.first <= first_key(half) && first_key(half) <= command.last;
-    };
-    const auto is_grant = command.kind == command_kind::grant;
-    for (auto half = std::size_t{0}; half < halves.size(); ++half) {
-        if (is_grant && concerns(half) && halves[half].fence > command.fence) {
-            return command_result::refused;
-        }
-    }
-    for (auto half = std::size_t{0}; half < halves.size(); ++half) {
-        auto& held = halves[half];
-        if (!concerns(half) || held.fence > command.fence) {
-            continue;
-        }
-        held.until = is_grant ? world.now + longest_hold(world) : instant{};
-        held.fence = is_grant ? command.fence : held.fence;
-    }
-    return command_result::done;
-}
-
-auto have_two_holders(const holder_world& world) -> bool {
-    for (auto half = std::size_t{0}; half < 2; ++half) {
-        if (std::all_of(world.targets.begin(), world.targets.end(),
-                        [&](const auto& each) { return world.now < each.halves[half].until; })) {
-            return true;
-        }
-    }
-    return false;
-}
-
-auto finish(holder_world& world, holder_call_state& call, command_result result) -> void {
-    call.is_awaited = false;
-    call.ended = world.now;
-    on_command_finished(world.controller, call.command, result, result == command_result::done ? "token" : "",
-                        call.sent, world.now);
-}
-
-/// The controller notices the answer to @a call, if it goes on.
-auto notice_answer(holder_world& world, holder_call_state& call) -> void {
-    if (call.answer && !world.is_paused) {
-        const auto result = *call.answer;
-        call.answer.reset();
-        finish(world, call, result);
-    }
-}
-
-/// The call is read, and answered if somebody waits and the answer is not lost.
-auto read_call(holder_world& world, holder_call_state& call, bool is_lost, chooser& choices) -> void {
-    const auto result = carry_out(world, call.command);
-    world.is_broken = world.is_broken || have_two_holders(world);
-    call.is_read = true;
-    const auto process = world.targets[index_of(call.command.to.id)].start_time_ms;
-    note(world, choices,
-         describe(call.command) + " is read by process " + std::to_string(process) + ": " +
-             std::string{name_in(command_result_names, result)} +
-             (!call.is_awaited ? ", nobody waits for the answer"
-              : is_lost        ? ", the answer is lost"
-                               : ""));
-    if (call.is_awaited && !is_lost) {
-        call.answer = result;
-        notice_answer(world, call);
-    }
-}
-
-/// Chooses whether a fault happens, if one may.
-auto chooses_fault(holder_world& world, chooser& choices) -> bool {
-    if (world.budget.faults == 0 || choices.choose(2) == 0) {
-        return false;
-    }
-    --world.budget.faults;
-    return true;
-}
-
-auto send_call(holder_world& world, holder_call_state& call, chooser& choices) -> void {
-    call.is_sent = true;
-    call.sent = world.now;
-    enum fate : std::size_t { answered, answer_lost, late };
-    const auto fate = world.budget.faults == 0 ? answered : choices.choose(3);
-    world.budget.faults -= fate == answered ? 0 : 1;
-    if (fate == late) {
-        note(world, choices, describe(call.command) + " is sent, and waits to be read");
-        return;
-    }
-    read_call(world, call, fate == answer_lost, choices);
-}
-
-/// The order is given up before it was sent: no connection, or an unanswered probe.
-auto give_up(holder_world& world, holder_call_state& call, chooser& choices) -> void {
-    note(world, choices, describe(call.command) + " is not sent");
-    call.is_read = true;
-    call.sent = world.now;
-    finish(world, call, command_result::not_sent);
-}
-
-/// An order that was decided in an earlier step is sent, given up, or neither yet.
-auto proceed_order(holder_world& world, holder_call_state& call, chooser& choices) -> void {
-    enum fate : std::size_t { sent, not_sent, later };
-    const auto fate = choices.choose(3);
-    if (fate == sent) {
-        send_call(world, call, choices);
-    } else if (fate == not_sent) {
-        give_up(world, call, choices);
-    }
-}
-
-/// When a call can no longer be read, if nobody waits for it.
-auto read_limit(const holder_world& world, const holder_call_state& call) -> instant {
-    const auto aborted = std::max(call.ended, call.sent + timeout_of(world, call.command));
-    return aborted + world.controller.options.margin + world.controller.options.late_reading +
-           world.excess_delay;
-}
-
-/// What becomes of the calls of earlier steps.
-auto proceed_calls(holder_world& world, chooser& choices) -> void {
-    for (auto& call : world.calls) {
-        if (!call.is_sent) {
-            if (!world.is_paused) {
-                proceed_order(world, call, choices);
-            }
-            continue;
-        }
-        notice_answer(world, call);
-        if (!call.is_read && choices.choose(2) == 0) {
-            read_call(world, call, call.is_awaited && chooses_fault(world, choices), choices);
-        }
-        const auto is_due = world.now >= call.sent + timeout_of(world, call.command);
-        if (call.is_awaited && is_due && !world.is_paused) {
-            note(world, choices, describe(call.command) + " is aborted");
-            finish(world, call, command_result::unanswered);
-        }
-    }
-    std::erase_if(world.calls, [&world](const auto& each) {
-        return !each.is_awaited && (each.is_read || world.now >= read_limit(world, each));
-    });
-}
-
 auto set_list(holder_world& world) -> void {
     auto holders = std::map<target_id, key_holder>{};
     for (auto index = std::size_t{0}; index < world.targets.size(); ++index) {
+        if (!world.targets[index].is_listed) {
+            continue;
+        }
         const auto id = name_of(index);
         holders[id] = {.incarnation = {.id = id, .start_time_ms = world.targets[index].listed_start_time_ms},
                        .eligible = true,
@@ -219,7 +50,7 @@
     return !has_grant_in_flight && !state.changed && !state.writing &&
            world.now >= state.moves_allowed_from &&
            std::all_of(state.responses.begin(), state.responses.end(),
-                       [&world](const auto& each) { return each.second.uncertain_until <= world.now; });
+                       [&](const auto& each) { return is_certain(state, each.first, world.now); });
 }
 
 /// A controller that knows only the record. Nobody waits for the answers to calls of the one before.
@@ -235,12 +66,17 @@
     std::erase_if(world.calls, [](const auto& each) { return !each.is_sent; });
     for (auto& call : world.calls) {
         call.ended = call.is_awaited ? world.now : call.ended;
+        call.closed = call.is_overdue ? world.now : call.closed;
         call.is_awaited = false;
+        call.is_overdue = false;
+        call.has_release_answers = false;
+        call.is_orphaned = true;
         call.answer.reset();
     }
     world.is_paused = false;
     auto successor = range_grantor{};
     successor.options = world.controller.options;
+    successor.overdue.options = world.controller.overdue.options;
     const auto remaining = is_clean ? duration::zero() : max_remaining_hold(successor.options);
     take_over(successor, world.recorded, world.now + remaining, world.now);
     world.controller = std::move(successor);
@@ -348,22 +184,6 @@
     }
 }
 
-auto send_due_commands(holder_world& world, chooser& choices) -> void {
-    for (auto& command : due_commands(world.controller, world.now)) {
-        auto call = holder_call_state{.command = std::move(command)};
-        if (!chooses_fault(world, choices)) {
-            send_call(world, call, choices);
-        } else if (choices.choose(2) == 0) {
-            give_up(world, call, choices);
-        } else {
-            note(world, choices, describe(call.command) + " is decided, and sent later");
-        }
-        if (call.is_awaited || !call.is_read) {
-            world.calls.push_back(std::move(call));
-        }
-    }
-}
-
 } // namespace
 
 auto take_step(holder_world& world, chooser& choices) -> bool {
@@ -407,7 +227,7 @@
     world.write = next_write(world.controller);
     end_write(world);
     for (const auto& command : due_commands(world.controller, world.now)) {
-        const auto result = carry_out(world, command);
+        const auto result = carry_out(world, command, true);
         on_command_finished(world.controller, command, result, {}, world.now, world.now);
     }
     world.write = next_write(world.controller);
@@ -416,4 +236,29 @@
     return world;
 }
 
+auto world_with_overdue_grant(const path_budget& budget) -> holder_world {
+    auto world = world_with_one_range(budget);
+    const auto& options = world.controller.options;
+    // Only the usual time of reading counts, so that paths are short.
+    world.controller.overdue.options = {.reading_spread = {}, .longest_reading = {}};
+    world.has_overdue_grants = true;
+    world.now += options.renewal_interval;
+    for (auto& command : due_commands(world.controller, world.now)) {
+        command.call = ++world.calls_sent;
+        world.calls.push_back({.command = std::move(command), .is_sent = true, .sent = world.now});
+    }
+    world.now += options.call_timeout;
+    for (auto& call : world.calls) {
+        call.is_overdue = true;
+        finish(world, call, command_result::overdue);
+        world.now = std::max(world.now, counted_until(world, call));
+    }
+    world.now += step_length;
+    for (const auto& command : due_commands(world.controller, world.now)) {
+        const auto result = carry_out(world, command, true);
+        on_command_finished(world.controller, command, result, {}, world.now, world.now);
+    }
+    return world;
+}
+
 } // namespace teaselcross::test
