--- a/tests/soak/late_reading.cpp
+++ b/tests/soak/late_reading.cpp
@@ -38,7 +38,8 @@
     constexpr auto share = 0.3;
     const auto is_chosen = monotonic_now() < m_carries_out_late_until &&
                            std::uniform_real_distribution<double>{}(m_group.random()) < share;
-    return is_chosen ? std::optional{draw(m_group.random(), 2, std::chrono::duration<double>(most_carried_out_late).count())} : std::nullopt;
+    const auto most = std::chrono::duration<double>(m_longest_order_delay).count();
+    return is_chosen ? std::optional{draw(m_group.random(), 2, most)} : std::nullopt;
 }
 
 auto target::describe(const grant& held, instant now) const -> std::string {
@@ -60,10 +61,11 @@
 
 auto soak::late_reading(instant until) -> asio::awaitable<void> {
     const auto has_long = m_options.seed >= first_seed_with_long_delays;
-    if (m_options.seed < first_seed_with_late_reading || (has_long && !has_long_delays(delay_kind::late_reading))) {
+    if (m_options.seed < first_seed_with_late_reading ||
+        (has_long && !has_long_delays(delay_kind::late_reading))) {
         co_return;
     }
-    const auto longest = has_long ? most_carried_out_late : longest_read_delay;
+    const auto longest = has_long ? longest_delay() : longest_read_delay;
     while (monotonic_now() < until) {
         begin_fault();
         const auto length = draw(m_pause_random, 2, 6);
--- a/tests/soak/long_delays.cpp
+++ b/tests/soak/long_delays.cpp
@@ -1,5 +1,5 @@
-// Delays that no constant of the program bounds: data centres that are cut off, with a relay on the way that holds
-// what was sent until the cut heals, and orders that get no answer and are carried out later.
+// Delays that no constant of the program bounds: data centres that are cut off, with a relay on the way that
+// holds what was sent until the cut heals, and orders that get no answer and are carried out later.
 
 #include "runtime/clock.h"
 #include "soak.h"
@@ -33,11 +33,12 @@
     while (monotonic_now() < until) {
         begin_fault();
         const auto place = m_pause_random() % data_centres.size();
-        const auto length = draw(m_pause_random, 3, 9);
+        const auto length = draw(m_pause_random, 3, has_very_long_delays() ? 25 : 9);
         tell(std::string{"cut off the targets of "} + data_centres[place] + " for " +
              std::to_string(length.count() / 1000) + " ms");
         for (auto index = place; index < m_target_links.size(); index += data_centres.size()) {
             m_target_links[index]->set(link_mode::held, {}, most_backlog);
+            m_targets.all()[index]->set_cut_off(has_very_long_delays());
         }
         for (std::size_t index = 0; index < m_processes.size(); ++index) {
             disturb(index);
@@ -46,6 +47,7 @@
         tell("the cut heals");
         for (auto index = place; index < m_target_links.size(); index += data_centres.size()) {
             m_target_links[index]->set(link_mode::open, {}, most_backlog);
+            m_targets.all()[index]->set_cut_off(false);
         }
         m_seen.late_orders_until = monotonic_now() + thaw_allowance;
         co_await pause(most_backlog);
@@ -66,7 +68,7 @@
         const auto length = draw(m_pause_random, 3, 7);
         tell("orders are carried out late for " + std::to_string(length.count() / 1000) + " ms");
         for (const auto& each : m_targets.all()) {
-            each->carry_out_late_until(monotonic_now() + length);
+            each->carry_out_late_until(monotonic_now() + length, longest_delay());
         }
         co_await pause(length);
         --m_faults_now;
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -110,8 +110,8 @@
             }
         }
         if (was_held && m_backlog > duration::zero()) {
-            timer.expires_after(duration{static_cast<duration::rep>(
-                m_random() % static_cast<std::uint64_t>(m_backlog.count()))});
+            timer.expires_after(duration{
+                static_cast<duration::rep>(m_random() % static_cast<std::uint64_t>(m_backlog.count()))});
             co_await timer.async_wait(as_result);
         }
         if (error == asio::error::eof) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -197,7 +197,7 @@
     while (m_playing) {
         for (const auto& each : m_targets.all()) {
             const auto& id = each->options().id;
-            if (each->up() && !each->is_suspended()) {
+            if (each->up() && !each->is_suspended() && !each->is_cut_off()) {
                 silent_since.erase(id);
                 if (m_store.faults().mode == store_mode::up) {
                     each->announce();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,9 +27,13 @@
 constexpr auto first_seed_with_suspensions = std::uint64_t{2000};
 /// From here on targets read late and are not suspended.
 constexpr auto first_seed_with_late_reading = std::uint64_t{3000};
-/// From here on delays are those of the platform's pages and of nobody's constants. By the remainder of the seed
-/// by four: data centres are cut off, targets read late, orders are carried out late, or all of it.
+/// From here on delays are those of the platform's pages and of nobody's constants. By the remainder of the
+/// seed by four: data centres are cut off, targets read late, orders are carried out late, or all of it.
 constexpr auto first_seed_with_long_delays = std::uint64_t{4000};
+/// From here on the same with delays that are longer than any that the pages name, and cut targets whose
+/// heartbeats are held up, too.
+constexpr auto first_seed_with_very_long_delays = std::uint64_t{5000};
+constexpr auto very_long_delay = duration{std::chrono::seconds{30}};
 enum class delay_kind : std::uint64_t { cut_off, late_reading, late_orders, all };
 /// Orders that get no answer are carried out so much later, by the platform's pages.
 constexpr auto most_carried_out_late = duration{std::chrono::seconds{12}};
@@ -112,6 +116,11 @@
     auto late_orders(instant until) -> boost::asio::awaitable<void>;
     /// Whether the seed has delays of @a kind that no constant of the program bounds.
     auto has_long_delays(delay_kind kind) const -> bool;
+    auto has_very_long_delays() const -> bool { return m_options.seed >= first_seed_with_very_long_delays; }
+    /// The longest time for which a target leaves a call unread or an order undone.
+    auto longest_delay() const -> duration {
+        return has_very_long_delays() ? very_long_delay : most_carried_out_late;
+    }
     auto watch_owners() -> boost::asio::awaitable<void>;
     auto restores(instant until) -> boost::asio::awaitable<void>;
     auto restore_store() -> boost::asio::awaitable<void>;
--- a/tests/soak/targets.h
+++ b/tests/soak/targets.h
@@ -56,7 +56,13 @@
         m_longest_read_delay = longest;
     }
     /// Until @a until it leaves a share of the orders unanswered and carries them out late.
-    auto carry_out_late_until(instant until) -> void { m_carries_out_late_until = until; }
+    auto carry_out_late_until(instant until, duration longest) -> void {
+        m_carries_out_late_until = until;
+        m_longest_order_delay = longest;
+    }
+    /// While it is cut off, its heartbeats do not arrive.
+    auto set_cut_off(bool is_cut_off) -> void { m_is_cut_off = is_cut_off; }
+    auto is_cut_off() const -> bool { return m_is_cut_off; }
 
     auto options() const -> const target_options& { return m_options; }
     auto up() const -> bool { return m_up; }
@@ -136,6 +142,8 @@
     instant m_reads_late_until{};
     duration m_longest_read_delay{};
     instant m_carries_out_late_until{};
+    duration m_longest_order_delay{};
+    bool m_is_cut_off = false;
     instant m_started_at{};
     std::map<std::uint64_t, std::uint64_t> m_fence_lives; ///< The life that read each fence first.
 };
