--- a/tests/ownership/late_answers_test.cpp
+++ b/tests/ownership/late_answers_test.cpp
@@ -239,5 +239,27 @@
     ASSERT_TRUE(is_refused);
 }
 
+// Guards against keys without an owner for longer than is needed: a target that has ended is not listed any
+// more, and answers nothing that was sent after its overdue grant.
+TEST_F(late_answers_test, keys_of_an_ended_target_that_answers_nothing_move_after_the_usual_time) {
+    const auto [overdue, sent] = make_overdue();
+    set_holders(m_state, {{b.id, {.incarnation = b, .eligible = true, .capacity = 10}}});
+    auto granted_at = std::optional<instant>{};
+    for (const auto until = sent + seconds{30}; m_now < until && !granted_at; m_now += tick) {
+        start_evictions(m_state, {}, m_now);
+        for (const auto& each : due()) {
+            if (each.to == b && each.first <= overdue.first && overdue.last <= each.last) {
+                granted_at = m_now;
+            }
+            if (each.to == b) {
+                finish(each, command_result::done, m_now);
+            }
+        }
+    }
+    ASSERT_TRUE(granted_at);
+    EXPECT_GE(*granted_at, sent + m_state.options.grant_term);
+    EXPECT_LT(*granted_at, sent + seconds{6});
+}
+
 } // namespace
 } // namespace teaselcross::test
