--- a/tests/ownership/overdue_grants_test.cpp
+++ b/tests/ownership/overdue_grants_test.cpp
@@ -16,6 +16,8 @@
 
 constexpr auto start = instant{seconds{10}};
 constexpr auto tick = milliseconds{40};
+/// Orders may be carried out so late, by the platform's pages.
+constexpr auto longest_delivery = seconds{12};
 const auto a = target_id{"a"};
 const auto b = target_id{"b"};
 
@@ -158,7 +160,7 @@
     const auto begin = m_now;
     run_until(m_now + seconds{30});
     ASSERT_FALSE(m_first_grants_to_b.empty());
-    EXPECT_GE(m_first_grants_to_b.front(), begin + m_state.overdue.options.longest_reading);
+    EXPECT_GE(m_first_grants_to_b.front(), begin + longest_delivery);
 }
 
 // Guards against keys without an owner for longer than is needed: the entry of a target that ended has
