Quick tests of an overdue grant whose connection has ended

These name the failure: without the bound of the ranges grant_whose_connection_has_ended_may_be_read_just_then is red, without the bound of the target release_proves_nothing_about_a_grant_whose_connection_has_ended, without both both.

--- a/tests/ownership/overdue_bounds_test.cpp
+++ b/tests/ownership/overdue_bounds_test.cpp
@@ -155,6 +155,33 @@
     EXPECT_GE(m_granted_to_b, until);
 }
 
+// Guards against a second owner when the connection of an overdue grant ends: the target may have the grant
+// in its sockets still, and nobody learns when it reads it.
+TEST_F(overdue_bounds_test, grant_whose_connection_has_ended_may_be_read_just_then) {
+    const auto grant = make_overdue();
+    move_to_b();
+    run_for(milliseconds{3500}, command_result::not_sent);
+    ASSERT_EQ(m_granted_to_b, instant{});
+    on_overdue_answer(m_state, grant.call, command_result::unanswered, m_now);
+    const auto until = held_until(m_now);
+    run_for(seconds{10}, command_result::not_sent);
+    EXPECT_GE(m_granted_to_b, until);
+}
+
+// Guards against a second owner when the connection of an overdue grant ends after the holder has answered a
+// release: the grant may be read after that release.
+TEST_F(overdue_bounds_test, release_proves_nothing_about_a_grant_whose_connection_has_ended) {
+    const auto grant = make_overdue();
+    move_to_b();
+    run_for(milliseconds{400}, command_result::done);
+    ASSERT_GT(m_releases_to_a, 0);
+    ASSERT_EQ(m_granted_to_b, instant{});
+    on_overdue_answer(m_state, grant.call, command_result::unanswered, m_now);
+    const auto until = held_until(m_now);
+    run_for(seconds{10}, command_result::done);
+    EXPECT_GE(m_granted_to_b, until);
+}
+
 // Guards against a second owner after a change of controller: the holder released its keys while a grant was
 // still awaited, and neither was it asked again, nor did the record name it.
 TEST_F(overdue_bounds_test, holder_that_has_released_is_asked_again_while_a_grant_is_awaited) {
