Look at changed ranges only when releases follow overdue grants, and at a holder's own grants

Cause: each tick compared each overdue grant with each range, each answer and each proof went through all overdue grants, and each range through all former holders. All grow with ranges times grants, or with their product. Change: overdue grants are found by call and by holder; releases behind them are looked for where the owner of keys has changed since the last tick, and for new grants; a result finds the ranges of its keys by search; former holders are asked for only when a range moves or is granted for the first time. What is decided is the same.

--- a/src/libteaselcross/ownership/overdue_answers.cpp
+++ b/src/libteaselcross/ownership/overdue_answers.cpp
@@ -31,9 +31,8 @@
     const auto until = now + state.options.late_reading + longest_term(state.options);
     auto& holder = state.responses[grant.holder.id];
     holder.uncertain_until = std::max(holder.uncertain_until, until);
-    for (const auto& range : state.map.ranges) {
-        const auto keys = overlap(range, grant.keys);
-        if (keys.first <= keys.last && range.holder.id == grant.holder.id) {
+    for (const auto& range : ranges_with(state.map, grant.keys)) {
+        if (range.holder.id == grant.holder.id) {
             auto& progress = progress_of(state, range);
             progress.may_hold_until = std::max(progress.may_hold_until, until);
             progress.previous_may_hold_until = std::max(progress.previous_may_hold_until, until);
@@ -59,11 +58,8 @@
     }
     state.responses[grant->holder.id].consecutive_failures = 0;
     const auto until = now + longest_term(state.options);
-    for (const auto& range : state.map.ranges) {
+    for (const auto& range : ranges_with(state.map, grant->keys)) {
         const auto keys = overlap(range, grant->keys);
-        if (keys.first > keys.last) {
-            continue;
-        }
         if (range.holder.id == grant->holder.id) {
             on_held(progress_of(state, range), range, *grant, now, until);
         } else {
@@ -78,7 +74,7 @@
 
 auto on_release_behind_answered(range_grantor& state, const holder_command& command,
                                 const std::string& handover) -> void {
-    for (const auto& range : state.map.ranges) {
+    for (const auto& range : ranges_with(state.map, {.first = command.first, .last = command.last})) {
         const auto is_within = command.first <= range.first && range.last <= command.last;
         if (!range.is_moving() || range.fence != command.fence || !is_within) {
             continue;
--- a/src/libteaselcross/ownership/overdue_grants.h
+++ b/src/libteaselcross/ownership/overdue_grants.h
@@ -5,6 +5,7 @@
 
 #include "ownership/holder_command.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -41,9 +42,21 @@
     duration longest_reading = std::chrono::seconds{12};
 };
 
+/// The target that is to have the keys of a range: the next holder once a move is recorded.
+struct range_owner {
+    key_span keys;
+    target_id id;
+
+    auto operator==(const range_owner&) const -> bool = default;
+};
+
 struct overdue_grants {
     overdue_grant_options options;
-    std::vector<overdue_grant> entries;
+    std::map<std::uint64_t, overdue_grant> entries;         ///< By call.
+    std::map<target_id, std::set<std::uint64_t>> by_holder; ///< The calls to each holder.
+    /// What due_releases_behind() has taken into account, so that it looks at changes only.
+    std::vector<range_owner> checked_owners;
+    std::vector<std::uint64_t> unchecked; ///< Calls that were added since.
 };
 
 /// Records a grant whose answer is still awaited.
@@ -57,7 +70,7 @@
 /// Returns nothing if there is none.
 auto take_overdue_grant(overdue_grants& state, std::uint64_t call) -> std::optional<overdue_grant>;
 
-/// Whether the answer to a grant to @a holder is still awaited.
+/// Whether @a holder may still read a grant whose time limit has passed.
 auto is_awaited(const overdue_grants& state, const target_id& holder) -> bool;
 
 /// Whether a grant of some of @a keys to @a holder may still be in force, or be read and come into force.
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -128,15 +128,18 @@
 
 /// The command that @a range needs now, if any.
 auto due_command(range_grantor& state, key_range& range, instant now) -> std::optional<holder_command> {
-    const auto is_held = is_held_by_former(state.former, range, now);
-    if (range.is_moving() && is_intent_recorded(state, range) && !is_held) {
+    if (range.is_moving() && is_intent_recorded(state, range) &&
+        !is_held_by_former(state.former, range, now)) {
         if (const auto proof = find_proof(state, range, progress_of(state, range), now)) {
             transfer_to_next(state, range, *proof, now);
         }
     }
     auto& progress = progress_of(state, range);
+    if (progress.call_pending || now < progress.next_call_at) {
+        return std::nullopt;
+    }
     const auto process = present_process(state, range);
-    if (progress.call_pending || now < progress.next_call_at || !process) {
+    if (!process) {
         return std::nullopt;
     }
     if (range.is_moving() && is_intent_recorded(state, range)) {
@@ -148,7 +151,7 @@
         progress.release_requested = true;
         return make_command(state, range, *process, command_kind::release, progress);
     }
-    if (is_held && !progress.confirmed) {
+    if (!progress.confirmed && is_held_by_former(state.former, range, now)) {
         return std::nullopt;
     }
     if (progress.release_requested || *process != range.holder) {
@@ -396,7 +399,7 @@
         }
     }
     // The range may have been split since the call; the result applies to each part.
-    for (auto& range : state.map.ranges) {
+    for (auto& range : ranges_with(state.map, {.first = command.first, .last = command.last})) {
         if (range.fence != command.fence || range.first < command.first || range.last > command.last) {
             continue;
         }
--- a/src/libteaselcross/ownership/range_grantor_parts.cpp
+++ b/src/libteaselcross/ownership/range_grantor_parts.cpp
@@ -1,5 +1,7 @@
 #include "ownership/range_grantor_parts.h"
 
+#include <algorithm>
+
 namespace teaselcross {
 
 auto longest_term(const range_grantor_options& options) -> duration {
@@ -12,6 +14,14 @@
     return state.progress[range.fence][range.first];
 }
 
+auto ranges_with(key_map& map, const key_span& keys) -> std::span<key_range> {
+    const auto first = std::lower_bound(map.ranges.begin(), map.ranges.end(), keys.first,
+                                        [](const auto& range, shard_key key) { return range.last < key; });
+    const auto end = std::upper_bound(first, map.ranges.end(), keys.last,
+                                      [](shard_key key, const auto& range) { return key < range.first; });
+    return {first, end};
+}
+
 auto on_acknowledged(range_progress& progress, std::uint64_t call, instant now) -> void {
     if (call == 0 || call != progress.answered_call) {
         progress.other_answered_at = progress.answered_at;
--- a/src/libteaselcross/ownership/range_grantor_parts.h
+++ b/src/libteaselcross/ownership/range_grantor_parts.h
@@ -4,6 +4,8 @@
 
 #include "ownership/range_grantor.h"
 
+#include <span>
+
 namespace teaselcross {
 
 /// The longest time for which a holder with the slowest clock may use a grant, counted from its arrival.
@@ -12,6 +14,9 @@
 /// The state of @a range; a new one if there is none.
 auto progress_of(range_grantor& state, const key_range& range) -> range_progress&;
 
+/// The ranges of @a map with at least one of @a keys.
+auto ranges_with(key_map& map, const key_span& keys) -> std::span<key_range>;
+
 /// Records that the holder has acknowledged the grant that was sent with @a call. A release that it has read
 /// before proves nothing any more.
 auto on_acknowledged(range_progress& progress, std::uint64_t call, instant now) -> void;
--- a/src/libteaselcross/ownership/stale_grants.cpp
+++ b/src/libteaselcross/ownership/stale_grants.cpp
@@ -12,19 +12,20 @@
 auto parts_not_held(const key_map& map, const stale_grant& grant) -> std::vector<stale_grant> {
     auto parts = std::vector<stale_grant>{};
     auto rest = grant;
-    for (const auto& range : map.ranges) {
-        const auto overlaps = range.first <= rest.last && rest.first <= range.last;
-        if (!overlaps || range.holder.id != grant.holder.id) {
+    auto range = std::lower_bound(map.ranges.begin(), map.ranges.end(), grant.first,
+                                  [](const auto& each, shard_key key) { return each.last < key; });
+    for (; range != map.ranges.end() && range->first <= grant.last; ++range) {
+        if (range->holder.id != grant.holder.id) {
             continue;
         }
-        if (rest.first < range.first) {
+        if (rest.first < range->first) {
             parts.push_back(rest);
-            parts.back().last = range.first - 1;
+            parts.back().last = range->first - 1;
         }
-        if (rest.last <= range.last) {
+        if (rest.last <= range->last) {
             return parts;
         }
-        rest.first = range.last + 1;
+        rest.first = range->last + 1;
     }
     parts.push_back(rest);
     return parts;
--- a/tests/support/holder_explorer.cpp
+++ b/tests/support/holder_explorer.cpp
@@ -44,7 +44,7 @@
             add(each.first, each.last, each.fence, each.next_call_at, each.releases, each.is_reachable,
                 each.call_pending, each.is_call_outdated);
         }
-        for (const auto& each : state.overdue.entries) {
+        for (const auto& [call, each] : state.overdue.entries) {
             const auto& options = state.overdue.options;
             add(place_of(world, each.call), each.may_hold_until, each.sent + options.longest_reading,
                 each.later_answer_at != instant{}, each.later_answer_at + options.reading_spread,
