Limit the connections of overdue grants for the whole process

On a limit of 4,100 files callers would be refused. At the limit the oldest is closed; its grant goes on to count as overdue, by the same times as before, only its answer is not noticed and no release can follow it. It is forgotten when it has expired. Grants to targets that answer go on. The number and the limit are metrics. The list of settings in settings_test has one field more, which is read now.

--- a/src/libteaselcross/ownership/overdue_answers.cpp
+++ b/src/libteaselcross/ownership/overdue_answers.cpp
@@ -72,6 +72,10 @@
     }
 }
 
+auto on_overdue_connection_closed(range_grantor& state, std::uint64_t call) -> void {
+    disconnect_overdue_grant(state.overdue, call);
+}
+
 auto on_release_behind_answered(range_grantor& state, const holder_command& command,
                                 const std::string& handover) -> void {
     for (const auto& range : ranges_with(state.map, {.first = command.first, .last = command.last})) {
--- a/src/libteaselcross/ownership/overdue_grants.cpp
+++ b/src/libteaselcross/ownership/overdue_grants.cpp
@@ -73,6 +73,9 @@
 /// Adds the releases of the keys of @a grant that by @a owners, in ascending order, belong to another target.
 auto add_releases_behind(overdue_grant& grant, const std::vector<range_owner>& owners, instant now,
                          std::vector<holder_command>& commands) -> void {
+    if (!grant.is_connected) {
+        return;
+    }
     auto owner = std::lower_bound(owners.begin(), owners.end(), grant.keys.first,
                                   [](const auto& each, shard_key key) { return each.keys.last < key; });
     for (; owner != owners.end() && owner->keys.first <= grant.keys.last; ++owner) {
@@ -114,6 +117,26 @@
     });
 }
 
+auto disconnect_overdue_grant(overdue_grants& state, std::uint64_t call) -> void {
+    const auto found = state.entries.find(call);
+    if (found != state.entries.end() && std::exchange(found->second.is_connected, false)) {
+        state.disconnected.push_back(call);
+    }
+}
+
+auto remove_expired(overdue_grants& state, duration longest_term, instant now) -> void {
+    while (!state.disconnected.empty()) {
+        const auto call = state.disconnected.front();
+        const auto found = state.entries.find(call);
+        if (found != state.entries.end() &&
+            now < expires_by(state.options, found->second, true, longest_term)) {
+            return;
+        }
+        static_cast<void>(take_overdue_grant(state, call));
+        state.disconnected.pop_front();
+    }
+}
+
 auto take_overdue_grant(overdue_grants& state, std::uint64_t call) -> std::optional<overdue_grant> {
     const auto found = state.entries.find(call);
     if (found == state.entries.end()) {
--- a/src/libteaselcross/ownership/overdue_grants.h
+++ b/src/libteaselcross/ownership/overdue_grants.h
@@ -5,6 +5,7 @@
 
 #include "ownership/holder_command.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -31,6 +32,7 @@
     /// When the target first answered another call that was sent after the grant, if it did.
     instant later_answer_at{};
     std::vector<key_span> released; ///< Keys whose release was sent behind the grant, on its connection.
+    bool is_connected = true;       ///< Otherwise nobody will learn when the target reads it.
 };
 
 struct overdue_grant_options {
@@ -54,6 +56,7 @@
     overdue_grant_options options;
     std::map<std::uint64_t, overdue_grant> entries;         ///< By call.
     std::map<target_id, std::set<std::uint64_t>> by_holder; ///< The calls to each holder.
+    std::deque<std::uint64_t> disconnected; ///< Calls whose connection was given up, in that order.
     /// What due_releases_behind() has taken into account, so that it looks at changes only.
     std::vector<range_owner> checked_owners;
     std::vector<std::uint64_t> unchecked; ///< Calls that were added since.
@@ -66,6 +69,14 @@
 /// Records that @a holder has answered a call that was sent at @a sent.
 auto on_later_answer(overdue_grants& state, const target_id& holder, instant sent, instant now) -> void;
 
+/// Records that the connection of the grant that was sent with @a call was given up although the target may
+/// still read the grant. Nothing is sent behind it any more. It is removed once it has expired.
+auto disconnect_overdue_grant(overdue_grants& state, std::uint64_t call) -> void;
+
+/// Removes grants without a connection that have expired whenever they were read. @a longest_term is the
+/// longest time for which a grant is in force.
+auto remove_expired(overdue_grants& state, duration longest_term, instant now) -> void;
+
 /// Removes the grant that was sent with @a call, which has been answered or whose connection has ended.
 /// Returns nothing if there is none.
 auto take_overdue_grant(overdue_grants& state, std::uint64_t call) -> std::optional<overdue_grant>;
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -347,6 +347,7 @@
         state.map.holders_uncertain = false;
         state.changed = !state.map.ranges.empty();
     }
+    remove_expired(state.overdue, longest_term(state.options), now);
     if (!state.owns_record || state.record_lost) {
         return commands;
     }
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -144,6 +144,10 @@
 /// identifies the grant. A former holder that has read it only now is asked to release its keys at once.
 auto on_overdue_answer(range_grantor& state, std::uint64_t call, command_result result, instant now) -> void;
 
+/// Records that the connection of the `overdue` grant that was sent with @a call was closed although the
+/// target may still read the grant. The grant counts as read at the latest possible time.
+auto on_overdue_connection_closed(range_grantor& state, std::uint64_t call) -> void;
+
 /// Records that the release @a command, which was sent behind an overdue grant, was answered after that
 /// grant.
 auto on_release_behind_answered(range_grantor& state, const holder_command& command,
--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -44,7 +44,8 @@
                    .idle_limit = std::chrono::seconds{20},
                    .user_timeout = std::chrono::milliseconds{800},
                    .idle_per_peer = 2,
-                   .reset_on_close = true}} {
+                   .reset_on_close = true}},
+      m_overdue{max_overdue_connections(settings.file_limit)} {
     m_lease.self = self();
     m_lease.options = m_options.lease;
 }
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -6,6 +6,7 @@
 #include "balance/range_balance.h"
 #include "gateway/cluster_state.h"
 #include "gateway/holder_calls.h"
+#include "gateway/overdue_connections.h"
 #include "gateway/replica_messages.h"
 #include "gateway/request_router.h"
 #include "gateway/store_access.h"
@@ -44,6 +45,9 @@
     duration balance_interval = std::chrono::milliseconds{400};
     /// Changes within this time are written together.
     duration write_interval = std::chrono::milliseconds{40};
+    /// How long the answer to a grant is awaited in all. A target that was suspended may answer long after
+    /// the time limit of the call.
+    duration overdue_limit = std::chrono::seconds{20};
     /// When reports stay unanswered for this long, an instance reads the lease.
     duration holder_timeout = std::chrono::milliseconds{700};
 };
@@ -80,6 +84,8 @@
     auto on_controller_announcement(const std::string& body) -> std::string;
 
     auto is_controller() const -> bool { return m_is_controller; }
+    /// The connections that are kept for answers to grants beyond their time limit.
+    auto overdue() const -> const overdue_connections& { return m_overdue; }
     /// The lease holder, if known.
     auto holder() const -> std::optional<instance_record>;
     /// The instance that writes the key maps: the lease holder while it is known to hold the lease.
@@ -117,11 +123,6 @@
     struct target_speed {
         double service_us = 0;
     };
-    struct awaited_grant {
-        target_id target;
-        std::shared_ptr<grant_exchange> exchange;
-    };
-
     auto self() const -> instance_id;
     auto make_grant_options() const -> range_grantor_options;
     auto campaign() -> boost::asio::awaitable<void>;
@@ -158,8 +159,8 @@
     auto balance(const service_id& service, service_control& state, instant now) -> void;
     auto execute_order(service_id service, holder_command order, std::uint64_t term)
         -> boost::asio::awaitable<void>;
-    /// Grants to @a target whose answers are awaited beyond their time limit.
-    auto count_overdue_grants(const target_id& target) const -> std::size_t;
+    /// Keeps the connection of a grant that is overdue, and gives up the oldest one if there are too many.
+    auto keep_overdue_connection(overdue_connection kept) -> void;
     auto send_behind_grant(holder_command release) -> boost::asio::awaitable<void>;
     auto await_overdue_grant(service_id service, holder_command order, holder_answer answer)
         -> boost::asio::awaitable<void>;
@@ -190,8 +191,10 @@
     std::uint64_t m_era = 0;  ///< Era of the store in which the lease of the current term was last written.
     std::uint64_t m_term = 0; ///< Number of terms that this process started; identifies the current one.
     std::uint32_t m_grants_in_flight = 0;
-    std::uint64_t m_calls = 0;                               ///< Orders so far, to identify each.
-    std::map<std::uint64_t, awaited_grant> m_overdue_grants; ///< By call, of the current term.
+    std::uint64_t m_calls = 0;          ///< Orders so far, to identify each.
+    std::uint64_t m_overdue_closed = 0; ///< Connections of overdue grants that were given up, so far.
+    instant m_next_overdue_log{};
+    overdue_connections m_overdue;           ///< Of grants of the current term.
     instant m_last_renewal{};                ///< Start of the last successful write of the lease.
     report_times m_reports;                  ///< Of the instances that report to this one.
     report_stamp m_stamp;                    ///< Of the holder's last answer to this instance.
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -4,6 +4,7 @@
 #include "gateway/controller.h"
 #include "gateway/holder_calls.h"
 #include "gateway/leaving_messages.h"
+#include "gateway/order_log.h"
 #include "logging/log.h"
 #include "ownership/holder_probe.h"
 #include "platform/store.h"
@@ -31,56 +32,9 @@
 constexpr auto first_assignment_time_limit = duration{std::chrono::milliseconds{5000}};
 /// Service time assumed for a target without measurements, to estimate its capacity.
 constexpr auto default_service_us = 100'000.0;
-/// Renewals that take longer are logged although they were answered.
-constexpr auto slow_answer = duration{std::chrono::milliseconds{250}};
-
-/// How long the answer to a grant is awaited in all. A target that was suspended may answer long after the
-/// time limit of the call.
-constexpr auto overdue_limit = duration{std::chrono::seconds{20}};
 /// With so many grants whose answers are awaited beyond their time limit, a target gets no further one.
 constexpr auto max_overdue_grants = std::size_t{32};
 
-/// Logs the answer to a grant that came after the time limit of the call, or that there will be none.
-/// @a is_awaited: the term in which it was sent goes on.
-auto log_overdue_answer(const service_id& service, const holder_command& order, command_result result,
-                        instant sent, instant now, bool is_awaited) -> void {
-    log::info("overdue_answer", {{"service", service},
-                                 {"target", order.to.id},
-                                 {"birth", order.to.start_time_ms},
-                                 {"first", order.first},
-                                 {"last", order.last},
-                                 {"fence", order.fence},
-                                 {"result", name_in(command_result_names, result)},
-                                 {"awaited", is_awaited},
-                                 {"ms", (now - sent).count() / 1000}});
-}
-
-/// Logs an order, but for renewals that were answered in time. A first grant names the earlier holder, and
-/// how long ago that one last acknowledged a grant; -1 if it did not.
-auto log_order(const service_id& service, const holder_command& order, command_result result, instant sent,
-               instant now) -> void {
-    const auto is_renewal = order.kind == command_kind::grant && !order.is_first;
-    if (is_renewal && result == command_result::done && now - sent <= slow_answer) {
-        return;
-    }
-    const auto answered_at = order.earlier_answered_at;
-    const auto answered_ms = answered_at == instant{} ? -1 : (sent - answered_at).count() / 1000;
-    log::info("key_order", {{"kind", name_in(command_kind_names, order.kind)},
-                            {"service", service},
-                            {"target", order.to.id},
-                            {"birth", order.to.start_time_ms},
-                            {"first", order.first},
-                            {"last", order.last},
-                            {"fence", order.fence},
-                            {"hold_ms", order.term.count() / 1000},
-                            {"earlier", order.earlier_holder.id},
-                            {"earlier_birth", order.earlier_holder.start_time_ms},
-                            {"earlier_answered_ms", answered_ms},
-                            {"proof", name_in(move_proof_names, order.proof)},
-                            {"result", name_in(command_result_names, result)},
-                            {"ms", (now - sent).count() / 1000}});
-}
-
 } // namespace
 
 /// Applies what another instance was told by targets that are leaving.
@@ -275,7 +229,7 @@
     auto answer = holder_answer{.sent = monotonic_now()};
     auto is_begun = false;
     // One that is aborted may be read later without anybody noticing.
-    const auto may_be_overdue = !is_grant || count_overdue_grants(order.to.id) < max_overdue_grants;
+    const auto may_be_overdue = !is_grant || m_overdue.count(order.to.id) < max_overdue_grants;
     if (address && known != m_services.end() && may_be_overdue) {
         auto call = holder_call{.address = std::move(*address),
                                 .order = order,
@@ -288,7 +242,7 @@
             is_begun = true;
             m_grants_in_flight += is_grant ? 1U : 0U;
         };
-        call.reading_limit = is_grant ? overdue_limit : duration{};
+        call.reading_limit = is_grant ? m_options.overdue_limit : duration{};
         answer = co_await call_holder(m_order_pool, std::move(call));
     }
     m_grants_in_flight -= is_grant && is_begun ? 1U : 0U;
@@ -300,7 +254,8 @@
     if (m_term == term && found != m_services.end()) {
         on_command_finished(found->second.grantor, order, answer.result, answer.handover, answer.sent, now);
         if (answer.overdue && m_is_controller) {
-            m_overdue_grants[order.call] = {.target = order.to.id, .exchange = answer.overdue};
+            keep_overdue_connection(
+                {.call = order.call, .service = service, .target = order.to.id, .exchange = answer.overdue});
             asio::co_spawn(m_executor,
                            await_overdue_grant(std::move(service), std::move(order), std::move(answer)),
                            asio::detached);
@@ -315,61 +270,6 @@
     }
 }
 
-auto controller::count_overdue_grants(const target_id& target) const -> std::size_t {
-    return static_cast<std::size_t>(
-        std::count_if(m_overdue_grants.begin(), m_overdue_grants.end(),
-                      [&target](const auto& each) { return each.second.target == target; }));
-}
-
-/// Sends a release on the connection of the overdue grant that it follows.
-auto controller::send_behind_grant(holder_command release) -> asio::awaitable<void> {
-    const auto found = m_overdue_grants.find(release.behind);
-    if (found != m_overdue_grants.end() && may_send_orders(monotonic_now())) {
-        auto exchange = found->second.exchange;
-        co_await grant_exchange::send_behind(std::move(exchange), std::move(release),
-                                             make_grant_options().release_timeout);
-    }
-}
-
-/// Waits for the answer to a grant whose time limit has passed, and for those to the releases behind it,
-/// until the term ends.
-auto controller::await_overdue_grant(service_id service, holder_command order, holder_answer answer)
-    -> asio::awaitable<void> {
-    const auto exchange = std::move(answer.overdue);
-    const auto term = m_term;
-    co_await exchange->wait(answer.sent + 2 * overdue_limit);
-    const auto result = exchange->result();
-    const auto is_awaited = m_overdue_grants.erase(order.call) > 0 && m_term == term && m_is_controller;
-    log_overdue_answer(service, order, result, answer.sent, monotonic_now(), is_awaited);
-    if (is_awaited) {
-        auto& state = m_services[service];
-        on_overdue_answer(state.grantor, order.call, result, monotonic_now());
-        if (may_send_orders(monotonic_now())) {
-            tick_service(service, state, monotonic_now()); // A former holder is asked at once.
-        }
-    }
-    while (m_term == term && m_is_controller) {
-        const auto asked_at = monotonic_now();
-        const auto released = co_await exchange->read_release(make_grant_options().release_timeout);
-        if (!released) {
-            break;
-        }
-        log_order(service, released->release, released->result, asked_at, monotonic_now());
-        const auto found = m_services.find(service);
-        const auto is_done = released->result == command_result::done;
-        if (is_done && m_term == term && found != m_services.end()) {
-            on_release_behind_answered(found->second.grantor, released->release, released->handover);
-        }
-    }
-    exchange->release_to(m_order_pool);
-}
-
-auto controller::abort_overdue_grants() -> void {
-    for (const auto& [call, each] : std::exchange(m_overdue_grants, {})) {
-        each.exchange->abort();
-    }
-}
-
 auto controller::write_key_map(service_id service, key_map map, std::uint64_t term) -> asio::awaitable<void> {
     const auto call =
         store_call{.kind = map.revision.number == 0 ? store_call_kind::create : store_call_kind::update,
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/cluster_state_feed.h"
+#include "gateway/copy_gauges.h"
 #include "gateway/graceful_stop.h"
 #include "gateway/peers.h"
 #include "gateway/settings_file.h"
@@ -246,20 +247,14 @@
 }
 
 auto gateway::gauges() const -> std::vector<gauge> {
-    auto values = std::vector<gauge>{};
-    for (const auto& [kind, memory] :
-         {std::pair{"answers", &m_answer_memory}, std::pair{"requests", &m_request_memory}}) {
-        values.push_back(
-            {.name = "body_memory_bytes", .kind = kind, .value = static_cast<double>(memory->in_use())});
-    }
-    for (const auto& [kind, state] : copies()) {
-        values.push_back(
-            {.name = "copy_revision", .kind = kind, .value = static_cast<double>(state.complete_to.number)});
-        if (state.age != duration::max()) {
-            const auto seconds = std::chrono::duration<double>(state.age).count();
-            values.push_back({.name = "copy_age_seconds", .kind = kind, .value = seconds});
-        }
-    }
+    auto values = copy_gauges(copies());
+    const auto add = [&values](const char* name, const char* kind, std::size_t value) {
+        values.push_back({.name = name, .kind = kind, .value = static_cast<double>(value)});
+    };
+    add("body_memory_bytes", "answers", m_answer_memory.in_use());
+    add("body_memory_bytes", "requests", m_request_memory.in_use());
+    add("overdue_grant_connections", "in_use", m_controller.overdue().size());
+    add("overdue_grant_connections", "limit", m_controller.overdue().limit());
     return values;
 }
 
--- a/src/teaselcross/gateway/gateway_settings.h
+++ b/src/teaselcross/gateway/gateway_settings.h
@@ -26,6 +26,7 @@
     double store_writes_per_second = 100; ///< Limit for all instances together.
     /// Memory that the process may use, in bytes.
     std::size_t memory_limit = std::size_t{256} * 1024 * 1024;
+    std::size_t file_limit = 1024; ///< Files and sockets that the process may have open.
 
     double retry_ratio = 0.2; ///< Allowed retries per request, across all instances.
     double retry_extra = 64;  ///< Allowed retries in a window in addition to the ratio, across all instances.
--- a/tests/ownership/overdue_bounds_test.cpp
+++ b/tests/ownership/overdue_bounds_test.cpp
@@ -243,5 +243,39 @@
     EXPECT_LE(m_granted_to_b, until + m_state.overdue.options.reading_spread + milliseconds{500});
 }
 
+// Guards against a second owner when there are too many overdue grants for their connections to be kept: the
+// target may read a grant whose connection was closed as late as any other.
+TEST_F(overdue_bounds_test, grant_whose_connection_was_given_up_may_be_read_twelve_seconds_late) {
+    const auto grant = make_overdue();
+    const auto sent = m_now - m_state.options.call_timeout;
+    move_to_b();
+    on_overdue_connection_closed(m_state, grant.call);
+    run_for(seconds{30}, command_result::not_sent);
+    ASSERT_NE(m_granted_to_b, instant{});
+    EXPECT_GE(m_granted_to_b, held_until(sent + seconds{12}));
+}
+
+// Guards against a second owner: the holder answers a release on another connection, and may read the grant,
+// whose connection was closed, after that.
+TEST_F(overdue_bounds_test, release_proves_nothing_at_once_about_a_grant_whose_connection_was_given_up) {
+    const auto grant = make_overdue();
+    move_to_b();
+    on_overdue_connection_closed(m_state, grant.call);
+    const auto released_at = m_now;
+    run_for(seconds{10}, command_result::done);
+    ASSERT_NE(m_granted_to_b, instant{});
+    EXPECT_GE(m_granted_to_b, held_until(released_at));
+}
+
+// Guards against a clean resignation, and against memory that grows, with grants that nobody waits for.
+TEST_F(overdue_bounds_test, grant_whose_connection_was_given_up_is_forgotten_when_it_has_expired) {
+    const auto grant = make_overdue();
+    on_overdue_connection_closed(m_state, grant.call);
+    EXPECT_FALSE(is_certain(m_state, a.id, m_now));
+    run_for(seconds{10}, command_result::done);
+    EXPECT_TRUE(is_certain(m_state, a.id, m_now));
+    EXPECT_TRUE(m_state.overdue.entries.empty());
+}
+
 } // namespace
 } // namespace teaselcross::test
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -22,7 +22,8 @@
         "node-name": "edge-west-1", "role": "gateway", "machine-class": "edge", "serves": ["edge"],
         "ip": "10.1.0.34", "zone": "west", "region": "midlands", "zones": {"west": "midlands"},
         "listen": {"front": "10.1.0.34:8548", "ready": "10.1.0.34:8542"}, "internal-ports": [7540, 7555],
-        "seeds": [], "bootstrap": true, "limits": {"cpu-share": 0.5, "cores": 2, "memory-mb": 512},
+        "seeds": [], "bootstrap": true, "limits": {"cpu-share": 0.5, "cores": 2, "memory-mb": 512,
+                   "max-fds": 4100},
         "data-dir": null, "heartbeat-s": 0.87, "contracts": ["base", "drain"],
         "bounds": {"ack-s": 5, "drain-s": 3, "grace-s": 10, "config-apply-s": 3.5,
                    "retry-budget-ratio": 0.3, "budget-window-s": 8, "budget-extra": 430, "cold-overage": 1.25,
@@ -93,6 +94,7 @@
     EXPECT_EQ(settings.store_writes_per_second, 3200);
     EXPECT_EQ(settings.cpu_share, 1);
     EXPECT_EQ(settings.memory_limit, 512U * 1024 * 1024);
+    EXPECT_EQ(settings.file_limit, 4100U);
     EXPECT_TRUE(settings.is_first_start);
 }
 
@@ -103,7 +105,8 @@
                                            "/internal-ports/0", "/internal-ports/1",
                                            "/platform/address", "/platform/writes-per-s",
                                            "/limits/cpu-share", "/limits/cores",
-                                           "/limits/memory-mb", "/bootstrap"};
+                                           "/limits/memory-mb", "/limits/max-fds",
+                                           "/bootstrap"};
     for (const auto* name :
          {"retry-budget-ratio", "budget-extra", "budget-window-s", "cold-overage", "cold-slack", "grace-s",
           "drain-s", "evacuation-s", "config-apply-s", "hold-max-s"}) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -111,7 +111,7 @@
                  {"internal-ports", {first_internal_port, first_internal_port + 1}},
                  {"listen",
                   {{"front", text(m_fronts[index].address)}, {"ready", text(m_fronts[index].readiness)}}},
-                 {"limits", {{"cpu-share", 0.2}, {"cores", 1}}},
+                 {"limits", {{"cpu-share", 0.2}, {"cores", 1}, {"max-fds", file_limit()}}},
                  {"platform",
                   {{"address", text(address(static_cast<std::uint16_t>(proxy_port + index)))},
                    {"writes-per-s", 400}}},
