Send no request whose caller has left or whose time is up, however late the event loop is

Cause: that a caller has closed its connection is noticed when the loop gets to it. After a late turn, the connection to the target was ready first and the request went out. The deadline was not looked at again after connecting either: a timer that has run out does not stop a write that succeeds at once, and the caller got 504 for what had not run. Change: right before the bytes go out the caller's connection and the deadline are looked at; what was not sent for lack of time is refused as not run.

--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -43,6 +43,7 @@
 
 /// State of one request in progress, for all its sends.
 struct request_router::request_context {
+    responder* link = nullptr;                ///< Of the caller.
     std::shared_ptr<const route_table> table; ///< Keeps the rule alive when the configuration changes.
     const route_rule* rule = nullptr;
     platform::caller_request caller;
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -147,10 +147,11 @@
     }
     const auto opened_at = monotonic_now();
     auto answer = std::move(*opened);
+    current.link->check_connection();
     if (current.caller_left) {
         co_return send_outcome{.result = attempt_result::withdrawn};
     }
-    if (m_has_given_up) {
+    if (m_has_given_up || opened_at >= until) {
         co_return send_outcome{.result = attempt_result::not_sent};
     }
     current.active_exchange = &answer;
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -76,7 +76,7 @@
                                                         .reset_on_close = true}} {}
 
 auto request_router::handle(responder& link, http_request request) -> asio::awaitable<bool> {
-    auto current = request_context{};
+    auto current = request_context{.link = &link};
     m_measured.count(counter::requests);
     if (const auto reason = start_request(current, request)) {
         co_return co_await refuse(link, current, *reason);
@@ -186,7 +186,9 @@
                                last.result == attempt_result::timed_out;
         if (!may_retry(current, last, monotonic_now())) {
             const auto late = last.result == attempt_result::timed_out;
+            const auto is_out_of_time = monotonic_now() >= current.deadline;
             const auto unsent = m_has_given_up                            ? refusal::stopping
+                                : is_out_of_time                          ? refusal::out_of_time
                                 : last.result == attempt_result::not_sent ? refusal::no_target
                                                                           : refusal::overload;
             const auto unknown = late ? refusal::answer_timeout : refusal::target_failed;
--- a/src/teaselcross/http/responder.cpp
+++ b/src/teaselcross/http/responder.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 
+#include <sys/socket.h>
+
 namespace teaselcross {
 
 namespace asio = boost::asio;
@@ -50,6 +52,12 @@
     }
 }
 
+auto client_link::is_closed_by_client() -> bool {
+    auto byte = char{};
+    const auto received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 auto client_link::close() -> void {
     if (closed) {
         return;
@@ -84,6 +92,12 @@
     }
 }
 
+auto responder::check_connection() -> void {
+    if (!is_disconnected() && m_link->is_closed_by_client()) {
+        m_link->on_disconnected();
+    }
+}
+
 auto responder::wait_turn() -> asio::awaitable<bool> {
     while (!m_link->closed && m_link->current_number != m_number) {
         co_await wait_on(m_turn, m_link->stream.get_executor());
--- a/src/teaselcross/http/responder.h
+++ b/src/teaselcross/http/responder.h
@@ -28,6 +28,9 @@
     auto in_progress() const -> std::size_t { return responders.size(); }
     /// Records that the client has disconnected, and tells the requests in progress.
     auto on_disconnected() -> void;
+    /// Whether the client has closed its side, also if nobody has noticed yet. False if there is input to be
+    /// read first.
+    auto is_closed_by_client() -> bool;
     /// Closes the connection; responses that have not been written are dropped.
     auto close() -> void;
     /// Wakes the coroutine that reads requests.
@@ -63,6 +66,8 @@
     auto wait_for_disconnect() -> boost::asio::awaitable<void>;
 
     auto is_disconnected() const -> bool { return m_link->disconnected || m_link->closed; }
+    /// Looks at the connection, in case that the client has disconnected and the event loop is late.
+    auto check_connection() -> void;
     auto remote() const -> const std::string& { return m_link->remote; }
     /// Whether the response was written, completely or in part.
     auto has_responded() const -> bool { return m_responded; }
--- a/src/teaselcross/http/server.cpp
+++ b/src/teaselcross/http/server.cpp
@@ -76,13 +76,6 @@
            error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
-/// Whether the peer has closed the connection. False if there is input to be read first.
-auto is_closed_by_peer(asio::ip::tcp::socket& socket) -> bool {
-    auto byte = char{};
-    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 auto has_unread_input(asio::ip::tcp::socket& socket) -> bool {
     auto byte = char{};
     return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
@@ -249,7 +242,7 @@
     link.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     const auto until = monotonic_now() + linger_time;
     while (!link.closed && !link.disconnected && !ignored && monotonic_now() < until) {
-        if (client_session->has_input && is_closed_by_peer(link.stream.socket())) {
+        if (client_session->has_input && link.is_closed_by_client()) {
             break;
         }
         co_await wait_for_input(client_session, until - monotonic_now());
@@ -276,8 +269,7 @@
         link.reader_wakeup.expires_after(limit);
     }
     co_await link.reader_wakeup.async_wait(as_result);
-    if (client_session->has_input && !link.closed && link.in_progress() > 0 &&
-        is_closed_by_peer(link.stream.socket())) {
+    if (client_session->has_input && !link.closed && link.in_progress() > 0 && link.is_closed_by_client()) {
         link.on_disconnected();
     }
 }
