Spread renewals and ticks, and measure how late the event loop is

Renewals that are due together are now spread over about eight ticks, and answers ask for one tick, 10 ms after the last at the earliest. How late a timer of the loop was is a histogram on the metrics address, event_loop_delay_seconds.

--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/// Renewals that are due together are spread over about so many calls of due_commands(), so that a burst of
+/// them does not hold up other work of the event loop.
+constexpr auto renewal_parts = std::size_t{8};
+constexpr auto min_renewals_at_once = std::size_t{16};
+
 constexpr auto all_keys = key_span{.first = 0, .last = last_shard_key};
 
 /// Whether a grant of @a keys whose answer is still awaited can take effect at @a holder.
@@ -126,8 +131,9 @@
     return !state.unrecorded_intents.contains(range.next_fence);
 }
 
-/// The command that @a range needs now, if any.
-auto due_command(range_grantor& state, key_range& range, instant now) -> std::optional<holder_command> {
+/// The command that @a range needs now, if any. A renewal takes one of @a renewals_left, or waits.
+auto due_command(range_grantor& state, key_range& range, std::size_t& renewals_left, instant now)
+    -> std::optional<holder_command> {
     if (range.is_moving() && is_intent_recorded(state, range) &&
         !is_held_by_former(state.former, range, now)) {
         if (const auto proof = find_proof(state, range, progress_of(state, range), now)) {
@@ -157,6 +163,10 @@
     if (progress.release_requested || *process != range.holder) {
         return std::nullopt; // The intent of a move is not recorded yet.
     }
+    if (progress.confirmed && renewals_left == 0) {
+        return std::nullopt;
+    }
+    renewals_left -= progress.confirmed ? 1 : 0;
     progress.call_pending = true;
     // The call may arrive as late as its timeout, and the term counts from its arrival.
     progress.previous_may_hold_until = progress.may_hold_until;
@@ -351,11 +361,12 @@
     if (!state.owns_record || state.record_lost) {
         return commands;
     }
+    auto renewals_left = std::max(min_renewals_at_once, state.map.ranges.size() / renewal_parts);
     for (auto& range : state.map.ranges) {
         if (state.unrecorded_intents.contains(range.fence)) {
             continue;
         }
-        if (auto command = due_command(state, range, now)) {
+        if (auto command = due_command(state, range, renewals_left, now)) {
             commands.push_back(std::move(*command));
         }
     }
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -41,6 +41,8 @@
     /// How long the stamp that an instance returned with a report counts towards the majority.
     duration report_validity = std::chrono::milliseconds{1200};
     duration tick_interval = std::chrono::milliseconds{40};
+    /// Between two ticks of a service that answers of targets ask for.
+    duration min_tick_interval = std::chrono::milliseconds{10};
     duration report_interval = std::chrono::milliseconds{400};
     duration balance_interval = std::chrono::milliseconds{400};
     /// Changes within this time are written together.
@@ -116,6 +118,8 @@
                                        key_rates{.options = sustained_load_options}};
         instant next_balance{};
         instant next_write{};
+        instant last_tick{};
+        bool is_tick_scheduled = false; ///< A tick before the next regular one.
         bool loaded = false;
         std::size_t last_holder_count = 0; ///< Used before the first assignment only.
         instant holder_count_since{};
@@ -155,6 +159,9 @@
     auto load_key_maps() -> boost::asio::awaitable<bool>;
     auto tick(instant now) -> void;
     auto tick_service(const service_id& service, service_control& state, instant now) -> void;
+    /// Ticks @a service soon, once for all calls until then.
+    auto schedule_tick(const service_id& service) -> void;
+    auto run_scheduled_tick(service_id service, duration delay) -> boost::asio::awaitable<void>;
     auto refresh_holders(const service_id& service, service_control& state, instant now) -> void;
     auto balance(const service_id& service, service_control& state, instant now) -> void;
     auto execute_order(service_id service, holder_command order, std::uint64_t term)
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -136,6 +136,7 @@
 
 auto controller::tick_service(const service_id& service, service_control& state, instant now) -> void {
     auto& grantor = state.grantor;
+    state.last_tick = now;
     refresh_holders(service, state, now);
     const auto leads = holds_lease(m_lease, now);
     if (grantor.map.ranges.empty()) {
@@ -171,6 +172,29 @@
     }
 }
 
+auto controller::schedule_tick(const service_id& service) -> void {
+    auto& state = m_services[service];
+    if (!std::exchange(state.is_tick_scheduled, true)) {
+        const auto delay = state.last_tick + m_options.min_tick_interval - monotonic_now();
+        asio::co_spawn(m_executor, run_scheduled_tick(service, std::max(delay, duration::zero())),
+                       asio::detached);
+    }
+}
+
+auto controller::run_scheduled_tick(service_id service, duration delay) -> asio::awaitable<void> {
+    const auto term = m_term;
+    co_await sleep_for(delay);
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        co_return;
+    }
+    found->second.is_tick_scheduled = false;
+    const auto now = monotonic_now();
+    if (m_term == term && m_is_controller && may_send_orders(now)) {
+        tick_service(service, found->second, now);
+    }
+}
+
 auto controller::refresh_holders(const service_id& service, service_control& state, instant now) -> void {
     auto holders = std::map<target_id, key_holder>{};
     for (const auto& [id, known] : m_cluster.targets()) {
--- a/src/teaselcross/gateway/controller_overdue.cpp
+++ b/src/teaselcross/gateway/controller_overdue.cpp
@@ -59,9 +59,7 @@
     if (is_awaited) {
         auto& state = m_services[service];
         on_overdue_answer(state.grantor, order.call, result, monotonic_now());
-        if (may_send_orders(monotonic_now())) {
-            tick_service(service, state, monotonic_now()); // A former holder is asked at once.
-        }
+        schedule_tick(service); // A former holder is asked soon.
     }
     while (m_term == term && m_is_controller) {
         const auto asked_at = monotonic_now();
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -402,8 +402,10 @@
 auto gateway::run_housekeeping() -> asio::awaitable<void> {
     auto next_settings = monotonic_now() + settings_interval;
     while (true) {
+        const auto due = monotonic_now() + housekeeping_interval;
         co_await sleep_for(housekeeping_interval);
         const auto now = monotonic_now();
+        m_measured.time(timing::event_loop_delay, std::max(now - due, duration::zero()));
         m_cluster.remove_expired(now);
         log::flush_direct();
         if (now >= next_settings) {
--- a/src/teaselcross/metrics/metrics.h
+++ b/src/teaselcross/metrics/metrics.h
@@ -65,8 +65,9 @@
                                                 "quiet_requests_total"};
 
 /// The operation whose latency is recorded.
-enum class timing { request, keeper_queue, target };
-constexpr enum_table<timing, 3> timing_names{"request_seconds", "keeper_queue_seconds", "target_seconds"};
+enum class timing { request, keeper_queue, target, event_loop_delay };
+constexpr enum_table<timing, 4> timing_names{"request_seconds", "keeper_queue_seconds", "target_seconds",
+                                             "event_loop_delay_seconds"};
 
 /// A value that is read when the metrics are exported.
 struct gauge {
