Count a request that was not sent for lack of time against nobody

It counted as a silent send of the target, and two of these make the owner of a key unavailable, although nothing was sent. Its outcome has a name of its own in the log, out_of_time.

--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -25,6 +25,7 @@
     reset,       ///< Sent on a new connection that was reset at once; the target may have received it.
     timed_out,   ///< Sent, but no answer came within the time limit.
     withdrawn,   ///< The caller left.
+    out_of_time, ///< Nothing was sent, as the time limit had passed.
 };
 
 /// What came of one send. It is made anew with each send and handed on by value, so that nothing of an
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -32,8 +32,9 @@
 /// A connection that ends sooner after it was opened was not accepted by the target, which may have too many.
 constexpr auto connection_reset_time = duration{std::chrono::milliseconds{40}};
 
-constexpr auto attempt_result_names = std::array<std::string_view, 9>{
-    "answered", "failed", "not_sent", "shed", "misdirected", "lost", "reset", "timed_out", "withdrawn"};
+constexpr auto attempt_result_names =
+    std::array<std::string_view, 10>{"answered", "failed", "not_sent",  "shed",      "misdirected",
+                                     "lost",     "reset",  "timed_out", "withdrawn", "out_of_time"};
 
 } // namespace
 
@@ -71,6 +72,7 @@
         result = send_result::shed;
         break;
     case attempt_result::withdrawn:
+    case attempt_result::out_of_time:
         result = send_result::withdrawn;
         break;
     case attempt_result::reset:
@@ -151,7 +153,10 @@
     if (current.caller_left) {
         co_return send_outcome{.result = attempt_result::withdrawn};
     }
-    if (m_has_given_up || opened_at >= until) {
+    if (opened_at >= until) {
+        co_return send_outcome{.result = attempt_result::out_of_time};
+    }
+    if (m_has_given_up) {
         co_return send_outcome{.result = attempt_result::not_sent};
     }
     current.active_exchange = &answer;
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -186,11 +186,10 @@
                                last.result == attempt_result::timed_out;
         if (!may_retry(current, last, monotonic_now())) {
             const auto late = last.result == attempt_result::timed_out;
-            const auto is_out_of_time = monotonic_now() >= current.deadline;
-            const auto unsent = m_has_given_up                            ? refusal::stopping
-                                : is_out_of_time                          ? refusal::out_of_time
-                                : last.result == attempt_result::not_sent ? refusal::no_target
-                                                                          : refusal::overload;
+            const auto unsent = m_has_given_up                               ? refusal::stopping
+                                : last.result == attempt_result::out_of_time ? refusal::out_of_time
+                                : last.result == attempt_result::not_sent    ? refusal::no_target
+                                                                             : refusal::overload;
             const auto unknown = late ? refusal::answer_timeout : refusal::target_failed;
             if (!current.may_have_run) {
                 current.retry_after = expected_finish(chosen.target->view, {}, monotonic_now()) / 2;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -79,9 +79,9 @@
     auto pause(duration period) -> boost::asio::awaitable<void>;
     auto seconds(double least, double most) -> duration;
     /// Time of a planned stop; some seeds have another one than the program's default.
+    auto grace() const -> duration { return std::chrono::seconds{m_options.seed % 7 == 2 ? 10 : 6}; }
     /// From seed 6000 on, an instance has room for few overdue connections only.
     auto file_limit() const -> int { return m_options.seed >= 6000 ? 320 : 4100; }
-    auto grace() const -> duration { return std::chrono::seconds{m_options.seed % 7 == 2 ? 10 : 6}; }
     auto write_settings(std::size_t index) -> void;
     auto write_config() -> void;
     auto launch(std::size_t instance) -> void;
