--- a/scripts/draw_days.py
+++ b/scripts/draw_days.py
@@ -2,7 +2,7 @@
 """Draws days of disruptions by kind, plays each on one or more checkouts, and tabulates kinds against broken rules.
 
     draw_days.py SITE --program NAME=CHECKOUT [--program NAME=CHECKOUT ...] [--first N] [--days N] [--seed N]
-                 [--jobs N] [--until HH:MM] [--bench PATH] [--output DIR]
+                 [--kind NAME] [--jobs N] [--until HH:MM] [--bench PATH] [--output DIR]
     draw_days.py --table DIR
 
 The days come in turns of three: one kind of disruption alone, a pair, and a pair with a change of controller. Keys
@@ -82,11 +82,13 @@
     return entry
 
 
-def draw_day(seed, number):
-    """Returns the names of the kinds and the day of this number."""
+def draw_day(seed, number, kind=None):
+    """Returns the names of the kinds and the day of this number, with `kind` in it if one is wanted."""
     rng = random.Random(f'{seed}/{number}')
     names = sorted(DISRUPTIONS)
     wanted = [names[(number // 3) % len(names)]] if number % 3 == 0 else rng.sample(names, 2)
+    if kind and kind not in wanted:
+        wanted = [kind] + wanted[:1]
     faults = [{'at': 2.0, 'kind': 'hot_key', 'share': round(rng.uniform(0.25, 0.55), 2),
                'count': rng.choice([40, 60, 100, 150, 200]), 'for_s': 28.0}]
     for name in wanted:
@@ -165,7 +167,7 @@
     os.makedirs(os.path.join(options.output, 'broken'), exist_ok=True)
     work = queue.Queue()
     for number in range(options.first, options.first + options.days):
-        kinds, day = draw_day(options.seed, number)
+        kinds, day = draw_day(options.seed, number, options.kind)
         path = os.path.abspath(os.path.join(options.output, day['name'] + '.toml'))
         with open(path, 'w') as file:
             file.write(to_toml(day))
@@ -210,6 +212,7 @@
     parser.add_argument('--first', type=int, default=0, help='number of the first day')
     parser.add_argument('--days', type=int, default=30)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--kind', choices=sorted(DISRUPTIONS), help='a kind that every day has')
     parser.add_argument('--jobs', type=int, default=4)
     parser.add_argument('--until', help='begins no play after this time of day')
     parser.add_argument('--bench', default='../given/kit/more/system/bin/fleetbench')
