--- a/src/libteaselcross/routing/route_table.h
+++ b/src/libteaselcross/routing/route_table.h
@@ -2,12 +2,14 @@
 
 // Routing rules by host and longest path prefix, with the services of each rule.
 
+#include "accounts/client_accounts.h"
 #include "core/enum_names.h"
 #include "core/identifier.h"
 #include "core/time.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +63,7 @@
     caller_limits limits;
     std::map<std::string, std::vector<route_rule>, std::less<>> rules_by_host;
     std::map<service_id, service_policy> services;
+    std::shared_ptr<const account_directory> accounts; ///< Null if the configuration has no accounts.
 };
 
 /// Returns the rule of @a host with the longest matching prefix of @a path, or null. Thread safe as long as
--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -48,6 +48,9 @@
     std::shared_ptr<const route_table> table; ///< Keeps the rule alive when the configuration changes.
     const route_rule* rule = nullptr;
     platform::caller_request caller;
+    const client_account* account =
+        nullptr;            ///< Of the caller; null without accounts. Kept alive by the table.
+    std::uint32_t rank = 0; ///< Priority in force; 0 is the most urgent.
     service_id service;
     service_policy policy;
     instant arrived{};
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -131,6 +131,7 @@
         return refusal::no_route;
     }
     const auto& rule = *started.rule;
+    started.rank = rule.rank;
     started.service = next_service(m_splitter, rule);
     started.policy = started.table->services.at(started.service);
     started.deadline = now + std::min(rule.timeout, started.caller.time_left.value_or(default_patience));
