Identify callers by the keys of client accounts

A request on a route that is not public is answered 401 without exactly one known key; the target gets the account's name and never the key. With `strict-revoke` an instance whose copy of the configuration has been unconfirmed for `revoke-s` answers 503. Logs, metrics and the operators' page name the account. Requests without `tenants` in the configuration are handled as before.

--- a/scripts/check_words.sh
+++ b/scripts/check_words.sh
@@ -2,7 +2,7 @@
 # Fails when the platform's names are used outside platform/, or when an event of the gateway's log is not explained.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-names='Request-Attempt-Id|Deadline-Remaining-Ms|Server-Signature|Expect-Instance|Server-Load|Not-Executed|Cold-Remaining|Shard-Key|"/-/|path-prefix|traffic-split|target-latency|cold-remaining|TEASELCROSS_BOOT'
+names='Request-Attempt-Id|Deadline-Remaining-Ms|Server-Signature|Expect-Instance|Server-Load|Not-Executed|Cold-Remaining|Shard-Key|"/-/|path-prefix|traffic-split|target-latency|cold-remaining|TEASELCROSS_BOOT|Teaselcross-Credential|Tenant-Name|"tenants"|"api-keys"|strict-revoke|"revoke-s"'
 if grep -rnE "$names" src --include='*.h' --include='*.cpp'; then
     echo "the platform's names belong into platform/" >&2
     exit 1
--- a/src/libteaselcross/routing/route_table.h
+++ b/src/libteaselcross/routing/route_table.h
@@ -37,6 +37,7 @@
     duration objective{};           ///< Latency objective: an answer after it is worth less.
     std::uint32_t max_attempts = 1; ///< Maximum number of sends of one request.
     std::uint32_t rank = 0;         ///< Priority; 0 is the most urgent.
+    bool is_public = false;         ///< Requests need no key of a client account.
     std::vector<weighted_service> services;
 };
 
@@ -64,8 +65,17 @@
     std::map<std::string, std::vector<route_rule>, std::less<>> rules_by_host;
     std::map<service_id, service_policy> services;
     std::shared_ptr<const account_directory> accounts; ///< Null if the configuration has no accounts.
+    std::vector<std::string> remarks; ///< Parts of the accounts' configuration that have no effect.
 };
 
+/// Whether a request on @a rule has to carry the key of a client account. With an empty list of accounts none
+/// has to. Thread safe as long as the table is not modified.
+auto needs_account(const route_table& table, const route_rule& rule) -> bool;
+
+/// The priority of a request on @a rule: that of its client account, or of the route if @a account has none
+/// or is null. 0 is the most urgent. Thread safe.
+auto rank_in_force(const route_rule& rule, const client_account* account) -> std::uint32_t;
+
 /// Returns the rule of @a host with the longest matching prefix of @a path, or null. Thread safe as long as
 /// the table is not modified.
 auto find_route(const route_table& table, std::string_view host, std::string_view path) -> const route_rule*;
--- a/src/teaselcross/gateway/cluster_state_feed.cpp
+++ b/src/teaselcross/gateway/cluster_state_feed.cpp
@@ -54,7 +54,14 @@
         return;
     }
     const auto limits = parsed->limits;
-    if (m_cluster.set_routes(std::move(*parsed)) && m_on_limits) {
+    const auto remarks = parsed->remarks;
+    if (!m_cluster.set_routes(std::move(*parsed))) {
+        return;
+    }
+    for (const auto& each : remarks) {
+        log::info("config_without_effect", {{"revision", to_string(object.version)}, {"place", each}});
+    }
+    if (m_on_limits) {
         m_on_limits(limits);
     }
 }
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -253,6 +253,13 @@
     };
     add("body_memory_bytes", "answers", m_answer_memory.in_use());
     add("body_memory_bytes", "requests", m_request_memory.in_use());
+    const auto refused = select_largest(m_router.refused_by_account());
+    for (const auto& [account, count] : refused.largest) {
+        add("account_refusals", account.c_str(), count);
+    }
+    if (refused.rest > 0) {
+        add("account_refusals_rest", "accounts", refused.rest);
+    }
     add("overdue_grant_connections", "in_use", m_controller.overdue().size());
     add("overdue_grant_connections", "limit", m_controller.overdue().limit());
     return values;
@@ -360,6 +367,7 @@
     add_follower({.kind = platform::kinds::targets, .batch_delay = entry_batch_delay},
                  m_feed.target_events());
     add_follower({.kind = platform::kinds::routes, .batch_delay = entry_batch_delay}, m_feed.route_events());
+    m_router.set_config_age([&routes = *m_followers.back()] { return routes.state().age; });
     add_follower({.kind = platform::kinds::evacuations, .batch_delay = entry_batch_delay},
                  m_feed.out_of_service_events());
     add_follower({.kind = platform::kinds::instances,
--- a/src/teaselcross/gateway/gateway_settings.h
+++ b/src/teaselcross/gateway/gateway_settings.h
@@ -42,6 +42,10 @@
     duration evacuation = std::chrono::seconds{5};
     /// A changed configuration must be in force everywhere within this time.
     duration config_apply = std::chrono::seconds{2};
+    /// Whether requests that need a client account's key are refused while the configuration is unconfirmed.
+    bool strict_revoke = false;
+    /// Age of the last confirmation from which the configuration counts as unconfirmed for this.
+    duration revoke = std::chrono::seconds{5};
     duration max_grant_hold = std::chrono::seconds{10}; ///< Upper bound for the hold time of a grant.
     /// Time in which running targets register again after their entries expired in a store outage.
     duration outage_grace = std::chrono::seconds{2};
--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -51,6 +51,7 @@
     const client_account* account =
         nullptr;            ///< Of the caller; null without accounts. Kept alive by the table.
     std::uint32_t rank = 0; ///< Priority in force; 0 is the most urgent.
+    std::optional<credential_fault> key_fault; ///< Why it names no account, if it had to.
     service_id service;
     service_policy policy;
     instant arrived{};
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -38,6 +38,11 @@
 
 } // namespace
 
+/// The name of the request's client account for the log; empty if there is none.
+auto request_router::account_name_of(const request_context& current) -> std::string_view {
+    return current.account == nullptr ? std::string_view{} : std::string_view{current.account->name};
+}
+
 auto request_router::attempt(request_context& current, const std::shared_ptr<known_target>& target,
                              const http_request& request, duration limit) -> asio::awaitable<send_outcome> {
     const auto started = monotonic_now();
@@ -325,6 +330,7 @@
     m_measured.time(timing::request, took);
     log::info("answered", {{"id", current.caller.attempt_id},
                            {"service", current.service},
+                           {"account", account_name_of(current)},
                            {"target", target},
                            {"status", status},
                            {"sends", current.sends},
@@ -339,6 +345,20 @@
     mean += (static_cast<double>(bytes) - mean) * smoothing;
 }
 
+/// Counts a response of this instance that is no answer of a target.
+auto request_router::count_refusal(const request_context& current, unsigned status) -> void {
+    constexpr auto unauthorized = static_cast<unsigned>(http::status::unauthorized);
+    constexpr auto unavailable = static_cast<unsigned>(http::status::service_unavailable);
+    if (status == unauthorized) {
+        m_measured.count(counter::unauthorized);
+        return;
+    }
+    m_measured.count(status == unavailable ? counter::refused_not_run : counter::outcome_unknown);
+    if (status == unavailable && current.account != nullptr) {
+        add_count(m_refused_by_account, current.account->name, *current.table->accounts);
+    }
+}
+
 auto request_router::refuse(responder& link, request_context& current, refusal reason)
     -> asio::awaitable<bool> {
     const auto now = monotonic_now();
@@ -348,6 +368,9 @@
     case refusal::no_route:
         status = http::status::not_found;
         break;
+    case refusal::no_account:
+        status = http::status::unauthorized;
+        break;
     case refusal::target_failed:
         status = http::status::bad_gateway;
         break;
@@ -362,25 +385,28 @@
         retry_after = std::max(current.retry_after, min_retry_after) / 2 + spread;
         break;
     }
-    m_measured.count(status == http::status::service_unavailable ? counter::refused_not_run
-                                                                 : counter::outcome_unknown);
+    count_refusal(current, static_cast<unsigned>(status));
     const auto* kind = current.rule == nullptr
                            ? "none"
                            : request_kind_names[static_cast<std::size_t>(current.rule->kind)].data();
-    log::warning("refused", {{"id", current.caller.attempt_id},
-                             {"reason", name_in(refusal_names, reason)},
-                             {"status", static_cast<unsigned>(status)},
-                             {"kind", kind},
-                             {"service", current.service},
-                             {"config", current.table == nullptr ? 0 : current.table->version},
-                             {"sends", current.sends},
-                             {"returning", current.was_refused_before},
-                             {"target", current.last_target},
-                             {"key", current.caller.key ? std::to_string(*current.caller.key) : "none"},
-                             {"owner", current.owner},
-                             {"keys_revision", to_string(current.keys_revision)},
-                             {"retry_after_ms", retry_after.value_or(duration::zero()).count() / 1000},
-                             {"ms", (now - current.arrived).count() / 1000}});
+    log::warning("refused",
+                 {{"id", current.caller.attempt_id},
+                  {"reason", name_in(refusal_names, reason)},
+                  {"status", static_cast<unsigned>(status)},
+                  {"kind", kind},
+                  {"service", current.service},
+                  {"account", account_name_of(current)},
+                  {"credential", current.key_fault ? name_in(credential_fault_names, *current.key_fault)
+                                                   : std::string_view{}},
+                  {"config", current.table == nullptr ? 0 : current.table->version},
+                  {"sends", current.sends},
+                  {"returning", current.was_refused_before},
+                  {"target", current.last_target},
+                  {"key", current.caller.key ? std::to_string(*current.caller.key) : "none"},
+                  {"owner", current.owner},
+                  {"keys_revision", to_string(current.keys_revision)},
+                  {"retry_after_ms", retry_after.value_or(duration::zero()).count() / 1000},
+                  {"ms", (now - current.arrived).count() / 1000}});
     auto answer = platform::make_refusal(status, current.caller.attempt_id, retry_after);
     co_return co_await write_answer(link, std::move(answer));
 }
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -131,7 +131,10 @@
         return refusal::no_route;
     }
     const auto& rule = *started.rule;
-    started.rank = rule.rank;
+    if (const auto reason = identify(started, request)) {
+        return reason;
+    }
+    started.rank = rank_in_force(rule, started.account);
     started.service = next_service(m_splitter, rule);
     started.policy = started.table->services.at(started.service);
     started.deadline = now + std::min(rule.timeout, started.caller.time_left.value_or(default_patience));
@@ -146,9 +149,31 @@
     return std::nullopt;
 }
 
+/// Finds the client account of a request on a route, by the key that it carries. Returns why it is refused if
+/// it needs a key and carries none that is known.
+auto request_router::identify(request_context& started, const http_request& request) const
+    -> std::optional<refusal> {
+    if (!needs_account(*started.table, *started.rule)) {
+        return std::nullopt;
+    }
+    if (m_settings.strict_revoke && (!m_config_age || m_config_age() >= m_settings.revoke)) {
+        return refusal::accounts_unconfirmed;
+    }
+    const auto key = platform::read_credential(request);
+    started.account = key ? find_account(*started.table->accounts, *key) : nullptr;
+    if (started.account == nullptr) {
+        started.key_fault = key ? credential_fault::unknown : key.error();
+        return refusal::no_account;
+    }
+    return std::nullopt;
+}
+
 auto request_router::route(request_context& current, http_request& request)
     -> asio::awaitable<route_outcome> {
     platform::make_target_request(request);
+    if (current.table->accounts != nullptr) {
+        platform::set_request_account(request, current.account);
+    }
     const auto patience_end = current.arrived + current.caller.time_left.value_or(default_patience);
     auto wait_deadline = std::min(monotonic_now() + owner_change_timeout, current.objective);
     auto last = send_outcome{};
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -2,6 +2,7 @@
 
 // Routes callers' requests to targets and returns the target's answer or a refusal.
 
+#include "accounts/account_counts.h"
 #include "admission/gate.h"
 #include "admission/retry_detection.h"
 #include "delivery/retry_budget.h"
@@ -9,6 +10,7 @@
 #include "http/server.h"
 #include "metrics/metrics.h"
 
+#include <functional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -33,10 +35,14 @@
     target_failed,  ///< It was sent, and its outcome is unknown.
     answer_timeout, ///< It was sent, and no answer came before the deadline.
     stopping,       ///< The process stops and may end before the answer comes.
+    no_account,     ///< It carries no key of a client account.
+    /// It is not known whether its key still holds, as the configuration has not been confirmed for long.
+    accounts_unconfirmed,
 };
-constexpr enum_table<refusal, 11> refusal_names{"no_config",     "no_route",       "no_target", "no_owner",
-                                                "overload",      "cold",           "quiet",     "out_of_time",
-                                                "target_failed", "answer_timeout", "stopping"};
+constexpr enum_table<refusal, 13> refusal_names{
+    "no_config", "no_route",   "no_target",           "no_owner",      "overload",
+    "cold",      "quiet",      "out_of_time",         "target_failed", "answer_timeout",
+    "stopping",  "no_account", "accounts_unconfirmed"};
 
 namespace platform {
 struct target_answer;
@@ -51,6 +57,15 @@
     /// Handles one request; to be passed to http_server as its handler.
     auto handle(responder& link, http_request request) -> boost::asio::awaitable<bool>;
 
+    /// Sets the function that returns how long ago the configuration was last known to be the store's newest;
+    /// duration::max() for never, which also holds without a function.
+    auto set_config_age(std::function<duration()> config_age) -> void {
+        m_config_age = std::move(config_age);
+    }
+
+    /// How many requests of each client account were refused and have not run.
+    auto refused_by_account() const -> const account_counts& { return m_refused_by_account; }
+
     /// Returns the requests counted since the last call.
     auto take_sample() -> traffic_sample { return std::exchange(m_sample, {}); }
 
@@ -70,6 +85,7 @@
 
     auto budget_options() const -> retry_budget_options;
     auto start_request(request_context& started, const http_request& request) -> std::optional<refusal>;
+    auto identify(request_context& started, const http_request& request) const -> std::optional<refusal>;
     auto route(request_context& current, http_request& request) -> boost::asio::awaitable<route_outcome>;
     auto choose(request_context& current) -> target_choice;
     auto choose_owner(request_context& current) -> target_choice;
@@ -93,6 +109,8 @@
     auto release_connection(const request_context& current, open_answer answer) -> void;
     auto send_answer(responder& link, request_context& current, open_answer answer)
         -> boost::asio::awaitable<bool>;
+    static auto account_name_of(const request_context& current) -> std::string_view;
+    auto count_refusal(const request_context& current, unsigned status) -> void;
     auto refuse(responder& link, request_context& current, refusal reason) -> boost::asio::awaitable<bool>;
 
     const gateway_settings& m_settings;
@@ -109,6 +127,8 @@
     std::map<std::string, patience_window> m_patience; ///< By rule.
     std::map<service_id, lateness_estimate> m_lateness;
     traffic_sample m_sample;
+    account_counts m_refused_by_account;
+    std::function<duration()> m_config_age;
     std::set<request_context*> m_waiting;    ///< Requests that wait for an answer of their target.
     instant m_refuse_since = instant::max(); ///< From when on requests that may not finish are refused.
     instant m_give_up_at = instant::max();
--- a/src/teaselcross/metrics/metrics.h
+++ b/src/teaselcross/metrics/metrics.h
@@ -39,8 +39,9 @@
     ranges_moved,
     sends_to_data_centres_out,
     quiet_requests,
+    unauthorized,
 };
-constexpr enum_table<counter, 23> counter_names{"requests_total",
+constexpr enum_table<counter, 24> counter_names{"requests_total",
                                                 "answered_total",
                                                 "refused_not_run_total",
                                                 "outcome_unknown_total",
@@ -62,7 +63,8 @@
                                                 "grants_unanswered_total",
                                                 "ranges_moved_total",
                                                 "sends_to_data_centres_out_total",
-                                                "quiet_requests_total"};
+                                                "quiet_requests_total",
+                                                "unauthorized_total"};
 
 /// The operation whose latency is recorded.
 enum class timing { request, keeper_queue, target, event_loop_delay };
--- a/tests/explain/request_timeline_test.cpp
+++ b/tests/explain/request_timeline_test.cpp
@@ -13,7 +13,7 @@
 ms=900000 up_us=1000000 level=INFO instance=edge-a-1 event=started data_centre=a host=10.1.0.1
 ms=901000 up_us=2000000 level=INFO instance=edge-a-1 event=config_in_force version=4 before=3
 ms=904000 up_us=5000000 level=WARN instance=edge-a-1 event=store_lost call=watch status=unavailable last_answer_ms=310
-ms=905000 up_us=6000000 level=WARN instance=edge-a-1 event=refused id=aa11 reason=no_owner status=503 service=s1 target=i-7 ms=150
+ms=905000 up_us=6000000 level=WARN instance=edge-a-1 event=refused id=aa11 reason=no_owner status=503 service=s1 account=acme target=i-7 ms=150
 ms=906000 up_us=7000000 level=INFO instance=edge-a-1 event=config_in_force version=9 before=4
 )";
 constexpr auto controller_log = R"(
@@ -64,6 +64,7 @@
     const auto one = build_timeline(lines_of(std::string{receiver_log} + controller_log), "aa11");
     const auto other = build_timeline(lines_of(std::string{controller_log} + receiver_log), "aa11");
     EXPECT_EQ(to_text(one), to_text(other));
+    EXPECT_NE(to_text(one).find("account=acme"), std::string::npos);
 }
 
 TEST(request_timeline, is_empty_for_an_unknown_request_id) {
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -27,7 +27,8 @@
         "data-dir": null, "heartbeat-s": 0.87, "contracts": ["base", "drain"],
         "bounds": {"ack-s": 5, "drain-s": 3, "grace-s": 10, "config-apply-s": 3.5,
                    "retry-budget-ratio": 0.3, "budget-window-s": 8, "budget-extra": 430, "cold-overage": 1.25,
-                   "cold-slack": 10, "evacuation-s": 4, "hold-max-s": 9, "strict": true},
+                   "cold-slack": 10, "evacuation-s": 4, "hold-max-s": 9, "strict": true,
+                   "strict-revoke": true, "revoke-s": 4.5},
         "platform": {"address": "10.200.1.7:8541", "form": "objects", "writes-per-s": 3200}})");
 }
 
@@ -58,6 +59,8 @@
     EXPECT_EQ(settings.retry_extra, 430);
     EXPECT_EQ(settings.cold_overage, 1.25);
     EXPECT_EQ(settings.cold_slack, 10);
+    EXPECT_TRUE(settings.strict_revoke);
+    EXPECT_EQ(settings.revoke, milliseconds{4500});
 }
 
 // Guards against bounds of an installation that are ignored because they come as a table.
@@ -109,7 +112,7 @@
                                            "/bootstrap"};
     for (const auto* name :
          {"retry-budget-ratio", "budget-extra", "budget-window-s", "cold-overage", "cold-slack", "grace-s",
-          "drain-s", "evacuation-s", "config-apply-s", "hold-max-s"}) {
+          "drain-s", "evacuation-s", "config-apply-s", "hold-max-s", "strict-revoke", "revoke-s"}) {
         places.push_back(std::string{"/bounds/"} + name);
     }
     return places;
@@ -174,7 +177,7 @@
     document.erase("bounds");
     const auto parsed = parse(document);
     ASSERT_TRUE(parsed);
-    EXPECT_EQ(parsed->defaulted.size(), 10U);
+    EXPECT_EQ(parsed->defaulted.size(), 12U);
     EXPECT_TRUE(has(parsed->defaulted, "/bounds/grace-s"));
     EXPECT_EQ(parsed->settings.stop_grace, gateway_settings{}.stop_grace);
 }
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,5 +1,6 @@
 #include "callers.h"
 
+#include "accounts.h"
 #include "platform/names.h"
 #include "runtime/clock.h"
 
@@ -105,6 +106,9 @@
     if (keyed) {
         request.set(names::shard_key, std::to_string(m_random() % most_keys));
     }
+    if (m_options.has_accounts) {
+        add_credential(request, id, m_seen, m_random);
+    }
     request.prepare_payload();
     ++m_in_flight;
     ++m_sample.sent;
@@ -175,6 +179,7 @@
 auto callers::judge(const front& to, const std::string& id, const http_response& answer) -> void {
     const auto status = answer.result_int();
     ++m_seen.counts[std::to_string(status)];
+    judge_account(id, status, m_seen);
     if (answer[names::attempt_id] != id && answer.count(names::attempt_id) > 0) {
         report_broken(m_seen, "one's own answer", id + " got another's from " + to.address.host);
     }
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -31,6 +31,7 @@
 struct caller_options {
     double rate = 150; ///< Requests a second of all callers.
     duration patience = std::chrono::milliseconds{1000};
+    bool has_accounts = false; ///< Callers carry keys of client accounts.
 };
 
 class callers {
--- a/tests/soak/journal.h
+++ b/tests/soak/journal.h
@@ -12,6 +12,20 @@
 
 namespace teaselcross::soak {
 
+/// What a caller's key is worth.
+enum class key_state {
+    lasting,  ///< In all versions of the configuration.
+    unknown,  ///< In none, or the request has no key.
+    changing, ///< Removed, but some instances may not know yet.
+    removed,  ///< The instance has to know that it was removed.
+};
+
+/// What is expected of a request with regard to its account.
+struct account_expectation {
+    std::string account; ///< That a target has to be told.
+    key_state key = key_state::lasting;
+};
+
 /// Written by all parts of one soak; belongs to its event loop's thread.
 struct journal {
     std::uint64_t broken = 0;                    ///< Promises.
@@ -23,6 +37,8 @@
     std::vector<std::uint64_t> lives;            ///< How often each instance's process was started.
     std::uint64_t config_version = 0;            ///< The latest that was written.
     instant config_written_at{};
+    std::uint64_t earlier_config_version = 0;            ///< The one before the latest; 0 if there is none.
+    std::map<std::string, account_expectation> accounts; ///< By request; empty without accounts.
     instant late_orders_until{}; ///< Orders that a thawed instance sends late don't count.
 };
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -76,7 +76,8 @@
     m_seen.in_touch_from.resize(m_options.instances);
     m_seen.lives.resize(m_options.instances);
     m_disturbances.resize(m_options.instances);
-    m_callers = std::make_unique<callers>(m_context, m_fronts, m_seen, caller_options{}, m_options.seed);
+    m_callers = std::make_unique<callers>(m_context, m_fronts, m_seen,
+                                          caller_options{.has_accounts = has_accounts()}, m_options.seed);
 }
 
 soak::~soak() {
@@ -147,12 +148,19 @@
                               rule("/bulk/", "bulk", "download")});
     for (const auto version : m_versions) {
         rules.push_back(rule(path_of_version(version), "bulk", "download"));
+        if (has_accounts()) {
+            rules.back()["public"] = true;
+        }
+    }
+    auto config = json{{"version", m_version},
+                       {"listeners", json::array({{{"host", "soak.example"}, {"rules", std::move(rules)}}})},
+                       {"clusters", clusters},
+                       {"limits", {{"idle-timeout-s", 10 + m_version % 5}}}};
+    if (has_accounts()) {
+        config["tenants"] = accounts_of_version(m_version);
     }
-    m_store.put(platform::kinds::routes, "main",
-                {{"version", m_version},
-                 {"listeners", json::array({{{"host", "soak.example"}, {"rules", std::move(rules)}}})},
-                 {"clusters", clusters},
-                 {"limits", {{"idle-timeout-s", 10 + m_version % 5}}}});
+    m_store.put(platform::kinds::routes, "main", std::move(config));
+    m_seen.earlier_config_version = m_seen.config_version;
     m_seen.config_version = m_version;
     m_seen.config_written_at = monotonic_now();
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -3,6 +3,7 @@
 // One soak: instances of the program as processes of their own on loopback addresses, what surrounds them,
 // and faults from outside that come in series and overlap.
 
+#include "accounts.h"
 #include "callers.h"
 #include "proxy.h"
 #include "store.h"
@@ -82,6 +83,7 @@
     auto grace() const -> duration { return std::chrono::seconds{m_options.seed % 7 == 2 ? 10 : 6}; }
     /// From seed 6000 on, an instance has room for few overdue connections only.
     auto file_limit() const -> int { return m_options.seed >= 6000 ? 320 : 4100; }
+    auto has_accounts() const -> bool { return m_options.seed >= first_seed_with_accounts; }
     auto write_settings(std::size_t index) -> void;
     auto write_config() -> void;
     auto launch(std::size_t instance) -> void;
--- a/tests/soak/targets.cpp
+++ b/tests/soak/targets.cpp
@@ -1,5 +1,6 @@
 #include "targets.h"
 
+#include "accounts.h"
 #include "platform/names.h"
 #include "platform/store.h"
 #include "runtime/clock.h"
@@ -320,6 +321,7 @@
         co_return co_await write_answer(from, refusal(request, http::status::misdirected_request));
     }
     ++m_running;
+    check_account(request, id, seen);
     const auto runs = ++seen.runs[id];
     if (request.method() == http::verb::post && runs > 1) {
         report_broken(seen, "at most once", id + " runs again at " + m_options.id);
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -56,6 +56,7 @@
         }
         received.number = m_requests++;
         received.attempt_id = request[names::attempt_id];
+        received.whole = &request;
         const auto answer = m_script(received);
         ++received.on_connection;
         auto is_broken = false;
--- a/tests/support/scripted_target.h
+++ b/tests/support/scripted_target.h
@@ -18,6 +18,7 @@
     std::size_t on_connection = 0; ///< Number of the request on its connection, from 0.
     std::size_t number = 0;        ///< Number of the request at the target, from 0.
     std::string attempt_id;
+    const http_request* whole = nullptr; ///< Valid during the call of the script only.
 };
 
 /// What a target does with a request.
