Wait for the next owner of a key within the objective

A request whose key's range was moving was refused after 150 ms, while the former owner releases the range only when the requests in flight on it have ended, after 0.2 to 1 s. The refusal of a key whose owner was lost named 400 ms, while its grant lasts 2.6 s.

A request for a moving key now waits as long as its answer is still expected within its objective. A key whose owner is gone or does not answer is refused at once, also while its range is moving, and Retry-After is what is left of the grant's term since this instance first found the owner lost.

--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -8,6 +8,7 @@
 #include "gateway/cluster_state.h"
 #include "http/server.h"
 #include "metrics/metrics.h"
+#include "ownership/lost_owners.h"
 
 #include <random>
 #include <set>
@@ -73,6 +74,8 @@
     auto route(request_context& current, http_request& request) -> boost::asio::awaitable<route_outcome>;
     auto choose(request_context& current) -> target_choice;
     auto choose_owner(request_context& current) -> target_choice;
+    static auto transfer_wait_end(const request_context& current, const target_view* next, instant now)
+        -> instant;
     auto choose_any(request_context& current) -> target_choice;
     auto check_send(request_context& current, target_view& view, instant now) -> std::optional<refusal>;
     auto attempt(request_context& current, const std::shared_ptr<known_target>& target,
@@ -108,6 +111,7 @@
     std::map<std::string, double> m_mean_answer_bytes;
     std::map<std::string, patience_window> m_patience; ///< By rule.
     std::map<service_id, lateness_estimate> m_lateness;
+    lost_owners m_lost_owners;
     traffic_sample m_sample;
     std::set<request_context*> m_waiting;    ///< Requests that wait for an answer of their target.
     instant m_refuse_since = instant::max(); ///< From when on requests that may not finish are refused.
