--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -9,6 +9,7 @@
 #include "gateway/cluster_state.h"
 #include "http/server.h"
 #include "metrics/metrics.h"
+#include "ownership/lost_owners.h"
 
 #include <functional>
 #include <random>
@@ -89,6 +90,8 @@
     auto route(request_context& current, http_request& request) -> boost::asio::awaitable<route_outcome>;
     auto choose(request_context& current) -> target_choice;
     auto choose_owner(request_context& current) -> target_choice;
+    static auto transfer_wait_end(const request_context& current, const target_view* next, instant now)
+        -> instant;
     auto choose_any(request_context& current) -> target_choice;
     auto check_send(request_context& current, target_view& view, instant now) -> std::optional<refusal>;
     auto attempt(request_context& current, const std::shared_ptr<known_target>& target,
@@ -126,6 +129,7 @@
     std::map<std::string, double> m_mean_answer_bytes;
     std::map<std::string, patience_window> m_patience; ///< By rule.
     std::map<service_id, lateness_estimate> m_lateness;
+    lost_owners m_lost_owners;
     traffic_sample m_sample;
     account_counts m_refused_by_account;
     std::function<duration()> m_config_age;
