--- a/src/libteaselcross/admission/target_view.cpp
+++ b/src/libteaselcross/admission/target_view.cpp
@@ -47,6 +47,10 @@
     return view.usual_other_requests + (view.other_requests - view.usual_other_requests) * fresh;
 }
 
+auto expected_service(const target_view& view, const view_options& options, instant now) -> duration {
+    return duration{static_cast<duration::rep>(service_time(view, options, freshness(view, options, now)))};
+}
+
 auto expected_finish(const target_view& view, const view_options& options, instant now) -> duration {
     const auto fresh = freshness(view, options, now);
     const auto service = service_time(view, options, fresh);
--- a/src/libteaselcross/admission/target_view.h
+++ b/src/libteaselcross/admission/target_view.h
@@ -87,6 +87,9 @@
 /// towards the mean of the reports.
 auto expected_other_requests(const target_view& view, const view_options& options, instant now) -> double;
 
+/// Estimates the time that a request takes in a slot of the target at @a now.
+auto expected_service(const target_view& view, const view_options& options, instant now) -> duration;
+
 /// Estimates the time until a request sent at @a now is answered.
 auto expected_finish(const target_view& view, const view_options& options, instant now) -> duration;
 
