Refuse less urgent requests first where a service is short of capacity

Cause: the shortage decisions were not consulted.

Change: gateway/shortage_control holds one state per service; check_send() consults it after check_admission(). The refusal reason "shortage", rank= of "refused", the events shortage_began and shortage_ended, the metrics shortage_level and refused_by_rank, Retry-After by the time until the queue is short enough. The counts of served callers stay at 0 or above: a rejected send left a rank just below zero, so that the floor let it pass.

--- a/src/libteaselcross/admission/retry_detection.cpp
+++ b/src/libteaselcross/admission/retry_detection.cpp
@@ -12,7 +12,11 @@
         state.window_start = now;
     }
     state.max_patience = std::max(state.max_patience, patience);
-    return std::max(state.max_patience, state.previous_max_patience) - patience >= options.min_elapsed;
+    return waited_before(state, patience) >= options.min_elapsed;
+}
+
+auto waited_before(const patience_window& state, duration patience) -> duration {
+    return std::max(state.max_patience, state.previous_max_patience) - patience;
 }
 
 } // namespace teaselcross
--- a/src/libteaselcross/admission/retry_detection.h
+++ b/src/libteaselcross/admission/retry_detection.h
@@ -30,4 +30,7 @@
 auto detect_retry(patience_window& state, duration patience, const retry_detection_options& options,
                   instant now) -> bool;
 
+/// How long a caller that retries and waits for @a patience has waited since its first request.
+auto waited_before(const patience_window& state, duration patience) -> duration;
+
 } // namespace teaselcross
--- a/src/libteaselcross/admission/shortage.cpp
+++ b/src/libteaselcross/admission/shortage.cpp
@@ -31,7 +31,7 @@
 auto add(decaying_share& counts, double all, double counted, duration memory, instant now) -> void {
     decay(counts, memory, now);
     counts.all += all;
-    counts.counted += counted;
+    counts.counted = std::max(0.0, counts.counted + counted);
 }
 
 /// The counted share, or @a fallback if too little is known.
@@ -98,8 +98,17 @@
 }
 
 /// Brings the levels of all ranks up to date. The most urgent rank has one for its late requests, which its
-/// own harmed requests move.
+/// own harmed requests move. All are open while only one rank is present.
 auto adjust_all(service_shortage& state, const shortage_options& options, instant now) -> void {
+    const auto present = std::count_if(state.ranks.begin(), state.ranks.end(), [&](const auto& entry) {
+        return is_present(entry.second, options, now);
+    });
+    if (present < 2) {
+        for (auto& [rank, record] : state.ranks) {
+            record.open = 1;
+        }
+        return;
+    }
     auto harmed = decaying_share{};
     auto harm_count = std::uint64_t{0};
     auto has_more_urgent = false;
@@ -275,6 +284,7 @@
 
 auto take_shortage_change(service_shortage& state, const shortage_options& options, instant now)
     -> std::optional<bool> {
+    adjust_all(state, options, now);
     constexpr auto begin_level = 0.3;
     constexpr auto end_level = 0.05;
     std::erase_if(state.ranks, [&](const auto& entry) {
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -255,6 +255,7 @@
     add("body_memory_bytes", "requests", m_request_memory.in_use());
     add("overdue_grant_connections", "in_use", m_controller.overdue().size());
     add("overdue_grant_connections", "limit", m_controller.overdue().limit());
+    m_router.shortage().append_gauges(values);
     return values;
 }
 
@@ -407,6 +408,7 @@
         const auto now = monotonic_now();
         m_measured.time(timing::event_loop_delay, std::max(now - due, duration::zero()));
         m_cluster.remove_expired(now);
+        m_router.log_shortages();
         log::flush_direct();
         if (now >= next_settings) {
             next_settings = now + settings_interval;
--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -70,6 +70,16 @@
     target_id owner;                 ///< Owner of its key, as last known.
     store_revision keys_revision;    ///< Revision of the key map that names this owner.
     bool was_refused_before = false; ///< The caller is retrying after a refusal.
+    duration waited_before{};        ///< How long its caller has waited since its first request.
+    bool found_queue = false;        ///< Its target had a queue when it was last sent.
+
+    auto value() const -> valued_request {
+        return {.rank = rank,
+                .account = account == nullptr ? std::string_view{} : std::string_view{account->name},
+                .is_returning = was_refused_before};
+    }
+    /// Time by which the caller's first request should have been answered.
+    auto first_objective() const -> instant { return objective - waited_before; }
 };
 
 } // namespace teaselcross
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -52,6 +52,8 @@
                                               {"out_ms", (started - *out_since).count() / 1000},
                                               {"owner_of_key", current.owner == view.listed.id}});
     }
+    current.found_queue = has_queue(estimate_send(view, {}, started));
+    m_shortage.record_send(current.service, current.value(), started);
     on_sent(view);
     auto outcome = co_await exchange(current, *target, request, started + limit);
     const auto end = outcome.result;
@@ -83,6 +85,12 @@
         break;
     }
     on_ended(view, result, now - started, {}, now);
+    if (outcome.fields.load) {
+        m_shortage.record_load(current.service, view, now);
+    }
+    if (result == send_result::shed || result == send_result::withdrawn || end == attempt_result::not_sent) {
+        m_shortage.record_rejection(current.service, current.value(), now);
+    }
     const auto waited_for = end == attempt_result::answered || end == attempt_result::timed_out;
     if (waited_for && !current.was_refused_before) {
         record_answer(m_lateness[current.service], now > current.objective);
@@ -362,6 +370,7 @@
         retry_after = std::max(current.retry_after, min_retry_after) / 2 + spread;
         break;
     }
+    m_shortage.count_refusal(current.rank);
     m_measured.count(status == http::status::service_unavailable ? counter::refused_not_run
                                                                  : counter::outcome_unknown);
     const auto* kind = current.rule == nullptr
@@ -375,6 +384,7 @@
                              {"config", current.table == nullptr ? 0 : current.table->version},
                              {"sends", current.sends},
                              {"returning", current.was_refused_before},
+                             {"rank", current.rank},
                              {"target", current.last_target},
                              {"key", current.caller.key ? std::to_string(*current.caller.key) : "none"},
                              {"owner", current.owner},
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -104,6 +104,7 @@
         m_measured.count(counter::callers_left);
         co_return false;
     }
+    record_shortage(current, outcome);
     if (outcome.answer) {
         co_return co_await send_answer(link, current, std::move(*outcome.answer));
     }
@@ -137,8 +138,13 @@
     started.deadline = now + std::min(rule.timeout, started.caller.time_left.value_or(default_patience));
     started.objective = now + rule.objective;
     if (started.caller.time_left) {
-        started.was_refused_before = detect_retry(m_patience[rule.name], *started.caller.time_left, {}, now);
+        auto& patience = m_patience[rule.name];
+        started.was_refused_before = detect_retry(patience, *started.caller.time_left, {}, now);
+        if (started.was_refused_before) {
+            started.waited_before = waited_before(patience, *started.caller.time_left);
+        }
     }
+    m_shortage.record_arrival(started.service, started.value(), rule.objective, now);
     count_request(m_budgets[started.service], budget_options(), now);
     if (started.policy.keyed && started.caller.key) {
         ++m_sample.key_requests[started.service][*started.caller.key];
@@ -310,6 +316,14 @@
         current.retry_after = std::max(min_retry_after, *refused);
         return refusal::overload;
     }
+    const auto to_objective = current.first_objective() - now;
+    if (!current.may_have_run) {
+        const auto yields = m_shortage.check(current.service, current.value(), view, to_objective, now);
+        if (yields) {
+            current.retry_after = std::max(min_retry_after, *yields);
+            return refusal::shortage;
+        }
+    }
     if (is_cold(view, now) &&
         !take_cold_credit(view, m_cluster.cold_share_of(view.listed.id, current.policy.cold_rate), now)) {
         current.retry_after = std::max(min_retry_after, view.cold_until - now);
@@ -318,6 +332,27 @@
     return std::nullopt;
 }
 
+/// Records what became of a request, for the decisions on later ones.
+auto request_router::record_shortage(const request_context& current, const route_outcome& outcome) -> void {
+    const auto now = monotonic_now();
+    auto end = request_end::refused_otherwise;
+    if (outcome.answer || outcome.reason == refusal::answer_timeout) {
+        const auto is_late = !outcome.answer || now > current.first_objective();
+        end = !is_late              ? request_end::in_time
+              : current.found_queue ? request_end::late_in_queue
+                                    : request_end::late;
+    } else if (outcome.reason == refusal::overload) {
+        end = request_end::no_capacity;
+    } else if (outcome.reason == refusal::shortage) {
+        end = request_end::yielded;
+    }
+    m_shortage.record_end(current.service, current.value(), end, now);
+}
+
+auto request_router::log_shortages() -> void {
+    m_shortage.log_changes(monotonic_now());
+}
+
 auto request_router::may_retry(request_context& current, const send_outcome& last, instant now) -> bool {
     const auto end = last.result;
     const auto not_run =
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -6,6 +6,7 @@
 #include "admission/retry_detection.h"
 #include "delivery/retry_budget.h"
 #include "gateway/cluster_state.h"
+#include "gateway/shortage_control.h"
 #include "http/server.h"
 #include "metrics/metrics.h"
 
@@ -27,6 +28,7 @@
     no_target,      ///< No target of the service is available.
     no_owner,       ///< The key currently has no owner.
     overload,       ///< It could not be answered in time.
+    shortage,       ///< The service is short of capacity, and others go first.
     cold,           ///< Its target is cold and already has its share of requests.
     quiet,          ///< Its target has asked for no requests for some time.
     out_of_time,    ///< The deadline passed before it was sent.
@@ -34,9 +36,9 @@
     answer_timeout, ///< It was sent, and no answer came before the deadline.
     stopping,       ///< The process stops and may end before the answer comes.
 };
-constexpr enum_table<refusal, 11> refusal_names{"no_config",     "no_route",       "no_target", "no_owner",
-                                                "overload",      "cold",           "quiet",     "out_of_time",
-                                                "target_failed", "answer_timeout", "stopping"};
+constexpr enum_table<refusal, 12> refusal_names{"no_config",   "no_route",      "no_target",      "no_owner",
+                                                "overload",    "shortage",      "cold",           "quiet",
+                                                "out_of_time", "target_failed", "answer_timeout", "stopping"};
 
 namespace platform {
 struct target_answer;
@@ -54,6 +56,10 @@
     /// Returns the requests counted since the last call.
     auto take_sample() -> traffic_sample { return std::exchange(m_sample, {}); }
 
+    /// Logs what changed of services' shortages. To be called every second or more often.
+    auto log_shortages() -> void;
+    auto shortage() const -> const shortage_control& { return m_shortage; }
+
     /// Prepares for the end of the process: requests that have not been sent by @a since are refused if their
     /// time may last beyond @a give_up, when give_up_waiting() will be called.
     auto refuse_unfinishable(instant since, instant give_up) -> void;
@@ -75,6 +81,7 @@
     auto choose_owner(request_context& current) -> target_choice;
     auto choose_any(request_context& current) -> target_choice;
     auto check_send(request_context& current, target_view& view, instant now) -> std::optional<refusal>;
+    auto record_shortage(const request_context& current, const route_outcome& outcome) -> void;
     auto attempt(request_context& current, const std::shared_ptr<known_target>& target,
                  const http_request& request, duration limit) -> boost::asio::awaitable<send_outcome>;
     auto exchange(request_context& current, const known_target& target, const http_request& request,
@@ -108,6 +115,7 @@
     std::map<std::string, double> m_mean_answer_bytes;
     std::map<std::string, patience_window> m_patience; ///< By rule.
     std::map<service_id, lateness_estimate> m_lateness;
+    shortage_control m_shortage;
     traffic_sample m_sample;
     std::set<request_context*> m_waiting;    ///< Requests that wait for an answer of their target.
     instant m_refuse_since = instant::max(); ///< From when on requests that may not finish are refused.
