--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -262,6 +262,7 @@
     }
     add("overdue_grant_connections", "in_use", m_controller.overdue().size());
     add("overdue_grant_connections", "limit", m_controller.overdue().limit());
+    m_router.shortage().append_gauges(values);
     return values;
 }
 
@@ -415,6 +416,7 @@
         const auto now = monotonic_now();
         m_measured.time(timing::event_loop_delay, std::max(now - due, duration::zero()));
         m_cluster.remove_expired(now);
+        m_router.log_shortages();
         log::flush_direct();
         if (now >= next_settings) {
             next_settings = now + settings_interval;
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -57,6 +57,8 @@
                                               {"out_ms", (started - *out_since).count() / 1000},
                                               {"owner_of_key", current.owner == view.listed.id}});
     }
+    current.found_queue = has_queue(estimate_send(view, {}, started));
+    m_shortage.record_send(current.service, current.value(), started);
     on_sent(view);
     auto outcome = co_await exchange(current, *target, request, started + limit);
     const auto end = outcome.result;
@@ -88,6 +90,12 @@
         break;
     }
     on_ended(view, result, now - started, {}, now);
+    if (outcome.fields.load) {
+        m_shortage.record_load(current.service, view, now);
+    }
+    if (result == send_result::shed || result == send_result::withdrawn || end == attempt_result::not_sent) {
+        m_shortage.record_rejection(current.service, current.value(), now);
+    }
     const auto waited_for = end == attempt_result::answered || end == attempt_result::timed_out;
     if (waited_for && !current.was_refused_before) {
         record_answer(m_lateness[current.service], now > current.objective);
@@ -386,6 +394,7 @@
         *retry_after = current.retry_not_before ? *retry_after + spread / 4 : *retry_after / 2 + spread;
         break;
     }
+    m_shortage.count_refusal(current.rank);
     count_refusal(current, static_cast<unsigned>(status));
     const auto* kind = current.rule == nullptr
                            ? "none"
@@ -402,6 +411,7 @@
                   {"config", current.table == nullptr ? 0 : current.table->version},
                   {"sends", current.sends},
                   {"returning", current.was_refused_before},
+                  {"rank", current.rank},
                   {"target", current.last_target},
                   {"key", current.caller.key ? std::to_string(*current.caller.key) : "none"},
                   {"owner", current.owner},
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -7,6 +7,7 @@
 #include "admission/retry_detection.h"
 #include "delivery/retry_budget.h"
 #include "gateway/cluster_state.h"
+#include "gateway/shortage_control.h"
 #include "http/server.h"
 #include "metrics/metrics.h"
 #include "ownership/lost_owners.h"
@@ -30,6 +31,7 @@
     no_target,      ///< No target of the service is available.
     no_owner,       ///< The key currently has no owner.
     overload,       ///< It could not be answered in time.
+    shortage,       ///< The service is short of capacity, and others go first.
     cold,           ///< Its target is cold and already has its share of requests.
     quiet,          ///< Its target has asked for no requests for some time.
     out_of_time,    ///< The deadline passed before it was sent.
@@ -40,10 +42,13 @@
     /// It is not known whether its key still holds, as the configuration has not been confirmed for long.
     accounts_unconfirmed,
 };
-constexpr enum_table<refusal, 13> refusal_names{
-    "no_config", "no_route",   "no_target",           "no_owner",      "overload",
-    "cold",      "quiet",      "out_of_time",         "target_failed", "answer_timeout",
-    "stopping",  "no_account", "accounts_unconfirmed"};
+constexpr enum_table<refusal, 14> refusal_names{"no_config",      "no_route",
+                                                "no_target",      "no_owner",
+                                                "overload",       "shortage",
+                                                "cold",           "quiet",
+                                                "out_of_time",    "target_failed",
+                                                "answer_timeout", "stopping",
+                                                "no_account",     "accounts_unconfirmed"};
 
 namespace platform {
 struct target_answer;
@@ -70,6 +75,10 @@
     /// Returns the requests counted since the last call.
     auto take_sample() -> traffic_sample { return std::exchange(m_sample, {}); }
 
+    /// Logs what changed of services' shortages. To be called every second or more often.
+    auto log_shortages() -> void;
+    auto shortage() const -> const shortage_control& { return m_shortage; }
+
     /// Prepares for the end of the process: requests that have not been sent by @a since are refused if their
     /// time may last beyond @a give_up, when give_up_waiting() will be called.
     auto refuse_unfinishable(instant since, instant give_up) -> void;
@@ -94,6 +103,7 @@
         -> instant;
     auto choose_any(request_context& current) -> target_choice;
     auto check_send(request_context& current, target_view& view, instant now) -> std::optional<refusal>;
+    auto record_shortage(const request_context& current, const route_outcome& outcome) -> void;
     auto attempt(request_context& current, const std::shared_ptr<known_target>& target,
                  const http_request& request, duration limit) -> boost::asio::awaitable<send_outcome>;
     auto exchange(request_context& current, const known_target& target, const http_request& request,
@@ -130,6 +140,7 @@
     std::map<std::string, patience_window> m_patience; ///< By rule.
     std::map<service_id, lateness_estimate> m_lateness;
     lost_owners m_lost_owners;
+    shortage_control m_shortage;
     traffic_sample m_sample;
     account_counts m_refused_by_account;
     std::function<duration()> m_config_age;
