Quotas: client, controller's service and the hook in the router

A request of an account with a quota takes a unit before it is routed and waits for the controller for at most 100 ms; over the quota it is answered 429, without a usable share 503. Each further send takes another unit, and a unit that nothing was sent with is returned. Queries go to POST /controller/quota; configurations without limited accounts send none. Settings quota-window-s, quota-overage and quota-slack.

--- a/src/libteaselcross/quota/quota_ledger.cpp
+++ b/src/libteaselcross/quota/quota_ledger.cpp
@@ -156,7 +156,8 @@
 
 auto on_query(quota_ledger& state, const quota_query& query, bool may_give, instant now)
     -> std::optional<quota_reply> {
-    auto reply = quota_reply{.number = query.number, .epoch = state.epoch, .is_settled = state.is_settled};
+    auto reply = quota_reply{
+        .number = query.number, .epoch = state.epoch, .is_settled = state.is_settled, .accounts = {}};
     const auto known = state.holders.find(query.instance);
     const auto is_known = known != state.holders.end() && known->second.contains(query.start_time_ms);
     if (query.epoch != state.epoch || (!is_known && !query.is_full)) {
--- a/src/libteaselcross/quota/quota_share.cpp
+++ b/src/libteaselcross/quota/quota_share.cpp
@@ -94,12 +94,14 @@
         return unit_result::taken;
     }
     share.last_demand = now;
-    const auto is_known = state.valid_from && (state.is_settled || share.units > 0);
-    if (state.is_unanswered || now < share.next_ask) {
-        const auto has_share = is_known && (share.units > 0 || !state.is_unanswered);
-        return has_share ? unit_result::over_quota : unit_result::unknown;
-    }
-    return unit_result::ask;
+    const auto is_asked_later = state.is_unanswered || now < share.next_ask;
+    return is_asked_later ? refusal_of(state, account) : unit_result::ask;
+}
+
+auto refusal_of(const quota_share& state, std::string_view account) -> unit_result {
+    const auto has_share = state.accounts.find(account)->second.units > 0;
+    const auto is_pool_empty = state.is_settled && !state.is_unanswered;
+    return state.valid_from && (has_share || is_pool_empty) ? unit_result::over_quota : unit_result::unknown;
 }
 
 auto use_unit(quota_share& state, const quota_unit& unit, instant now) -> bool {
@@ -147,7 +149,8 @@
                              .start_time_ms = state.start_time_ms,
                              .number = ++state.number,
                              .epoch = state.epoch,
-                             .is_full = state.is_full_due};
+                             .is_full = state.is_full_due,
+                             .accounts = {}};
     for (auto& [name, account] : state.accounts) {
         const auto in_use = used(account, state.timing.window, now);
         account.units = std::min(account.units, std::max(in_use + reserve_of(account, now), std::int64_t{0}));
--- a/src/libteaselcross/quota/quota_share.h
+++ b/src/libteaselcross/quota/quota_share.h
@@ -68,6 +68,9 @@
 /// Reserves a unit of @a account if there is one. Precondition: the account has a limit.
 auto take_unit(quota_share& state, std::string_view account, instant now) -> unit_result;
 
+/// Why a request of @a account that waited in vain gets no unit.
+auto refusal_of(const quota_share& state, std::string_view account) -> unit_result;
+
 /// Counts a send with @a unit, which was taken before and is used up. Returns false if the unit is no longer
 /// valid, so that nothing may be sent.
 auto use_unit(quota_share& state, const quota_unit& unit, instant now) -> bool;
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -62,6 +62,17 @@
 };
 constexpr enum_table<resignation, 3> resignation_names{"unknown", "uncertain", "clean"};
 
+/// The term of a controller, as other duties of its instance need to know it.
+struct controller_term {
+    std::uint64_t number = 0; ///< Differs for each term of the process.
+    std::uint64_t era = 0;    ///< Of the store in which the lease was last written.
+    std::uint64_t epoch = 0;  ///< Of the lease.
+    bool is_first = false;    ///< There was no controller before.
+    bool may_send_orders = false;
+    bool holds_lease = false; ///< No later controller has begun.
+    instant earlier_ended{};  ///< From when on no earlier controller may send orders.
+};
+
 class controller {
 public:
     controller(const gateway_settings& settings, cluster_state& cluster, store_access& store,
@@ -86,6 +97,10 @@
     auto on_controller_announcement(const std::string& body) -> std::string;
 
     auto is_controller() const -> bool { return m_is_controller; }
+    /// The term of this instance at @a now, if it is the controller.
+    auto term(instant now) const -> std::optional<controller_term>;
+    /// The lease as last known.
+    auto known_lease() const -> const std::optional<lease_object>& { return m_lease.last_known; }
     /// The connections that are kept for answers to grants beyond their time limit.
     auto overdue() const -> const overdue_connections& { return m_overdue; }
     /// The lease holder, if known.
@@ -197,6 +212,7 @@
     bool m_stopping = false;
     /// The store may have lost leases and records of controllers before the current term.
     bool m_predecessor_unknown = false;
+    bool m_is_first_term = false; ///< There was no controller before.
     std::uint64_t m_era = 0;  ///< Era of the store in which the lease of the current term was last written.
     std::uint64_t m_term = 0; ///< Number of terms that this process started; identifies the current one.
     std::uint32_t m_grants_in_flight = 0;
--- a/src/teaselcross/gateway/controller_lease.cpp
+++ b/src/teaselcross/gateway/controller_lease.cpp
@@ -137,6 +137,7 @@
                                   .is_lost = is_lost,
                                   .era = m_era,
                                   .is_first_start = m_settings.is_first_start && !m_store.was_restored()});
+    m_is_first_term = !m_predecessor_unknown && !before;
     auto resigned = m_predecessor_unknown ? resignation::unknown : resignation::clean;
     if (!m_predecessor_unknown && before && !before->holder.empty()) {
         const auto was_this_instance = instance_of(before->holder) == m_settings.instance;
@@ -350,6 +351,19 @@
                                 has_majority_reports(now)));
 }
 
+auto controller::term(instant now) const -> std::optional<controller_term> {
+    if (!m_is_controller || !m_lease.last_known) {
+        return std::nullopt;
+    }
+    return controller_term{.number = m_term,
+                           .era = m_era,
+                           .epoch = m_lease.last_known->epoch,
+                           .is_first = m_is_first_term,
+                           .may_send_orders = may_send_orders(now),
+                           .holds_lease = holds_lease(m_lease, now),
+                           .earlier_ended = m_earliest_move - max_remaining_hold(make_grant_options())};
+}
+
 auto controller::renew_lease() -> asio::awaitable<void> {
     m_renewing = true;
     const auto term = m_term;
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/copy_gauges.h"
 #include "gateway/graceful_stop.h"
 #include "gateway/peers.h"
+#include "gateway/quota_access.h"
 #include "gateway/settings_file.h"
 #include "gateway/store_follower.h"
 #include "gateway/task.h"
@@ -84,7 +85,7 @@
     auto reads_store_directly() const -> bool;
     auto add_follower(follower_options options, follower_events events) -> void;
     auto copies() const -> copy_states;
-    auto gauges() const -> std::vector<gauge>;
+    auto gauges() -> std::vector<gauge>;
     auto start_following() -> asio::awaitable<void>;
     auto matches_controller(const store_follower& kind) const -> bool;
     auto choose_refresh_source(const store_follower& kind, instant now) const -> refresh_source;
@@ -112,6 +113,9 @@
     cluster_state_feed m_feed;
     request_router m_router;
     controller m_controller;
+    quota_service m_quota_service;
+    connection_pool m_quota_pool;
+    quota_client m_quotas;
     peer_service m_peers;
     std::unique_ptr<http_server> m_callers;
     std::unique_ptr<http_server> m_readiness;
@@ -133,7 +137,11 @@
       m_feed{m_settings, m_cluster, m_store}, m_router{m_settings, m_cluster, m_measured, m_answer_memory,
                                                        executor()},
       m_controller{m_settings, m_cluster, m_store, m_router, m_measured, executor(), m_start_time_ms},
-      m_peers{m_settings, m_store, m_controller, m_measured}, m_signals{m_context, SIGTERM, SIGINT, SIGHUP} {
+      m_quota_service{m_settings, m_cluster, m_controller}, m_quota_pool{executor(), quota_pool_options},
+      m_quotas{m_settings, m_cluster, make_quota_controller(m_controller, m_quota_service, m_quota_pool),
+               m_start_time_ms, executor()},
+      m_peers{m_settings, m_store, m_controller, m_quota_service, m_measured}, m_signals{m_context, SIGTERM,
+                                                                                         SIGINT, SIGHUP} {
     m_settings_text = read_file(m_settings_file).value_or(std::string{});
 }
 
@@ -176,6 +184,8 @@
              .idle_limit = limits.idle_timeout,
              .request_limit = limits.header_timeout});
     });
+    m_router.set_quotas(m_quotas);
+    spawn("quotas", [this] { return m_quotas.run(); });
     m_controller.set_copy_source([this] { return copies(); });
     m_measured.set_gauge_source([this] { return gauges(); });
     create_followers();
@@ -246,7 +256,7 @@
     return states;
 }
 
-auto gateway::gauges() const -> std::vector<gauge> {
+auto gateway::gauges() -> std::vector<gauge> {
     auto values = copy_gauges(copies());
     const auto add = [&values](const char* name, const char* kind, std::size_t value) {
         values.push_back({.name = name, .kind = kind, .value = static_cast<double>(value)});
@@ -255,6 +265,9 @@
     add("body_memory_bytes", "requests", m_request_memory.in_use());
     add("overdue_grant_connections", "in_use", m_controller.overdue().size());
     add("overdue_grant_connections", "limit", m_controller.overdue().limit());
+    for (auto& quota_gauges : {m_quotas.gauges(), m_quota_service.gauges()}) {
+        values.insert(values.end(), quota_gauges.begin(), quota_gauges.end());
+    }
     return values;
 }
 
--- a/src/teaselcross/gateway/gateway_settings.h
+++ b/src/teaselcross/gateway/gateway_settings.h
@@ -34,6 +34,11 @@
     /// A cold target may get at most its rate times this factor, plus the slack, in one second.
     double cold_overage = 1.5;
     double cold_slack = 5;
+    /// Limits on the requests of a client account, for all instances together; read at the start only. In any
+    /// window they exceed the quota by no more than the fraction and the number of requests.
+    duration quota_window = std::chrono::seconds{5};
+    double quota_overage = 0.1;
+    double quota_slack = 20;
     /// The whole system starts for the first time, so that no earlier process has left anything.
     bool is_first_start = false;
     duration stop_grace = std::chrono::seconds{6}; ///< Time from the stop signal until the process is killed.
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -137,8 +137,9 @@
 }
 
 peer_service::peer_service(const gateway_settings& settings, store_access& store, controller& own_controller,
-                           metrics& measured)
-    : m_settings{settings}, m_store{store}, m_controller{own_controller}, m_measured{measured} {}
+                           quota_service& quotas, metrics& measured)
+    : m_settings{settings}, m_store{store}, m_controller{own_controller}, m_quotas{quotas}, m_measured{
+                                                                                                measured} {}
 
 auto peer_service::relay(responder& link, const http_request& request) -> asio::awaitable<bool> {
     if (!m_store.is_healthy()) {
@@ -173,6 +174,8 @@
         }
     } else if (target == controller_paths::report && request.method() == http::verb::post) {
         response.body() = m_controller.on_report(request.body());
+    } else if (target == quota_path && request.method() == http::verb::post) {
+        response.body() = m_quotas.on_query(request.body());
     } else if (target == controller_paths::resign && request.method() == http::verb::post) {
         response.body() = m_controller.on_resign_request(request.body());
     } else if (target == controller_paths::announce && request.method() == http::verb::post) {
--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -2,6 +2,7 @@
 
 // State of one request in the router, shared by the router's source files.
 
+#include "gateway/quota_client.h"
 #include "gateway/request_router.h"
 #include "platform/messages.h"
 
@@ -49,8 +50,9 @@
     const route_rule* rule = nullptr;
     platform::caller_request caller;
     const client_account* account =
-        nullptr;            ///< Of the caller; null without accounts. Kept alive by the table.
-    std::uint32_t rank = 0; ///< Priority in force; 0 is the most urgent.
+        nullptr;                    ///< Of the caller; null without accounts. Kept alive by the table.
+    std::uint32_t rank = 0;         ///< Priority in force; 0 is the most urgent.
+    std::optional<quota_hold> unit; ///< For the next send, of the account's quota.
     service_id service;
     service_policy policy;
     instant arrived{};
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -159,6 +159,13 @@
     if (m_has_given_up) {
         co_return send_outcome{.result = attempt_result::not_sent};
     }
+    if (current.unit) {
+        const auto may_send = current.unit->use(opened_at);
+        current.unit.reset();
+        if (!may_send) {
+            co_return send_outcome{.result = attempt_result::not_sent};
+        }
+    }
     current.active_exchange = &answer;
     m_waiting.insert(&current);
     current.sent_to.push_back(listed.id);
@@ -354,6 +361,14 @@
     case refusal::answer_timeout:
         status = http::status::gateway_timeout;
         break;
+    case refusal::over_quota:
+        // Spreads the returns over the time in which the units in use become free.
+        status = http::status::too_many_requests;
+        retry_after = min_retry_after +
+                      duration{static_cast<duration::rep>(
+                          m_random() % static_cast<std::uint64_t>(
+                                           std::max(m_settings.quota_window, min_retry_after).count()))};
+        break;
     default:
         // Spreads the retries of refused callers, so that they do not arrive together and meet the same
         // queue.
@@ -362,8 +377,9 @@
         retry_after = std::max(current.retry_after, min_retry_after) / 2 + spread;
         break;
     }
-    m_measured.count(status == http::status::service_unavailable ? counter::refused_not_run
-                                                                 : counter::outcome_unknown);
+    const auto is_not_run =
+        status == http::status::service_unavailable || status == http::status::too_many_requests;
+    m_measured.count(is_not_run ? counter::refused_not_run : counter::outcome_unknown);
     const auto* kind = current.rule == nullptr
                            ? "none"
                            : request_kind_names[static_cast<std::size_t>(current.rule->kind)].data();
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -36,6 +36,8 @@
 /// Maximum sends of one request to a key's owner that sheds it although its own report shows free slots: it
 /// then sheds at random.
 constexpr auto max_sends_to_owner = 4U;
+/// How long a request waits for units of its account from the controller.
+constexpr auto max_unit_wait = duration{std::chrono::milliseconds{100}};
 
 /// Whether a target's own report shows that it could have accepted a request.
 auto reports_free_slot(const std::optional<load_report>& load) -> bool {
@@ -158,6 +160,12 @@
         return route_outcome{.answer = std::move(last.answer), .reason = reason};
     };
     while (!current.caller_left) {
+        if (m_quotas != nullptr && !current.unit && m_quotas->is_limited(current.account)) {
+            const auto denied = co_await take_unit(current);
+            if (denied) {
+                co_return end_with(current.may_have_run ? refusal::target_failed : *denied);
+            }
+        }
         const auto now = monotonic_now();
         if (now + min_useful_time >= current.deadline) {
             co_return end_with(current.may_have_run ? refusal::answer_timeout : refusal::out_of_time);
@@ -201,6 +209,19 @@
     co_return route_outcome{};
 }
 
+/// Takes a unit of the account's quota for the next send. Returns why there is none.
+auto request_router::take_unit(request_context& current) -> asio::awaitable<std::optional<refusal>> {
+    const auto left = std::max(current.deadline - monotonic_now(), duration::zero());
+    auto taken = co_await m_quotas->take(current.account->name, std::min(left, max_unit_wait));
+    if (taken.reason == unit_result::taken) {
+        if (taken.hold) {
+            current.unit.emplace(std::move(*taken.hold));
+        }
+        co_return std::nullopt;
+    }
+    co_return taken.reason == unit_result::over_quota ? refusal::over_quota : refusal::quota_unknown;
+}
+
 /// Whether the answer to a request that would be sent now is certain to be waited for. One that may have run
 /// already is sent again as long as anything is: a failure would be its only other end.
 auto request_router::may_finish(const request_context& current, instant now) const -> bool {
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -33,14 +33,17 @@
     target_failed,  ///< It was sent, and its outcome is unknown.
     answer_timeout, ///< It was sent, and no answer came before the deadline.
     stopping,       ///< The process stops and may end before the answer comes.
+    over_quota,     ///< Its account has used its quota.
+    quota_unknown,  ///< No units of its account's quota may be used, as the controller is out of reach.
 };
-constexpr enum_table<refusal, 11> refusal_names{"no_config",     "no_route",       "no_target", "no_owner",
-                                                "overload",      "cold",           "quiet",     "out_of_time",
-                                                "target_failed", "answer_timeout", "stopping"};
+constexpr enum_table<refusal, 13> refusal_names{
+    "no_config",   "no_route",      "no_target",      "no_owner", "overload",   "cold",         "quiet",
+    "out_of_time", "target_failed", "answer_timeout", "stopping", "over_quota", "quota_unknown"};
 
 namespace platform {
 struct target_answer;
 }
+class quota_client;
 
 class request_router {
 public:
@@ -51,6 +54,9 @@
     /// Handles one request; to be passed to http_server as its handler.
     auto handle(responder& link, http_request request) -> boost::asio::awaitable<bool>;
 
+    /// Limits the requests of accounts by @a quotas, which must outlive the requests in progress.
+    auto set_quotas(quota_client& quotas) -> void { m_quotas = &quotas; }
+
     /// Returns the requests counted since the last call.
     auto take_sample() -> traffic_sample { return std::exchange(m_sample, {}); }
 
@@ -71,6 +77,7 @@
     auto budget_options() const -> retry_budget_options;
     auto start_request(request_context& started, const http_request& request) -> std::optional<refusal>;
     auto route(request_context& current, http_request& request) -> boost::asio::awaitable<route_outcome>;
+    auto take_unit(request_context& current) -> boost::asio::awaitable<std::optional<refusal>>;
     auto choose(request_context& current) -> target_choice;
     auto choose_owner(request_context& current) -> target_choice;
     auto choose_any(request_context& current) -> target_choice;
@@ -109,6 +116,7 @@
     std::map<std::string, patience_window> m_patience; ///< By rule.
     std::map<service_id, lateness_estimate> m_lateness;
     traffic_sample m_sample;
+    quota_client* m_quotas = nullptr;        ///< Null: no account has a limit.
     std::set<request_context*> m_waiting;    ///< Requests that wait for an answer of their target.
     instant m_refuse_since = instant::max(); ///< From when on requests that may not finish are refused.
     instant m_give_up_at = instant::max();
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -174,7 +174,7 @@
     document.erase("bounds");
     const auto parsed = parse(document);
     ASSERT_TRUE(parsed);
-    EXPECT_EQ(parsed->defaulted.size(), 10U);
+    EXPECT_EQ(parsed->defaulted.size(), 13U);
     EXPECT_TRUE(has(parsed->defaulted, "/bounds/grace-s"));
     EXPECT_EQ(parsed->settings.stop_grace, gateway_settings{}.stop_grace);
 }
