--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -2,6 +2,7 @@
 
 // State of one request in the router, shared by the router's source files.
 
+#include "gateway/quota_client.h"
 #include "gateway/request_router.h"
 #include "platform/messages.h"
 
@@ -52,6 +53,7 @@
         nullptr;            ///< Of the caller; null without accounts. Kept alive by the table.
     std::uint32_t rank = 0; ///< Priority in force; 0 is the most urgent.
     std::optional<credential_fault> key_fault; ///< Why it names no account, if it had to.
+    std::optional<quota_hold> unit;            ///< For the next send, of the account's quota.
     service_id service;
     service_policy policy;
     instant arrived{};
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -172,6 +172,13 @@
     if (m_has_given_up) {
         co_return send_outcome{.result = attempt_result::not_sent};
     }
+    if (current.unit) {
+        const auto may_send = current.unit->use(opened_at);
+        current.unit.reset();
+        if (!may_send) {
+            co_return send_outcome{.result = attempt_result::not_sent};
+        }
+    }
     current.active_exchange = &answer;
     m_waiting.insert(&current);
     current.sent_to.push_back(listed.id);
@@ -357,12 +364,14 @@
 auto request_router::count_refusal(const request_context& current, unsigned status) -> void {
     constexpr auto unauthorized = static_cast<unsigned>(http::status::unauthorized);
     constexpr auto unavailable = static_cast<unsigned>(http::status::service_unavailable);
+    constexpr auto too_many = static_cast<unsigned>(http::status::too_many_requests);
     if (status == unauthorized) {
         m_measured.count(counter::unauthorized);
         return;
     }
-    m_measured.count(status == unavailable ? counter::refused_not_run : counter::outcome_unknown);
-    if (status == unavailable && current.account != nullptr) {
+    const auto is_not_run = status == unavailable || status == too_many;
+    m_measured.count(is_not_run ? counter::refused_not_run : counter::outcome_unknown);
+    if (is_not_run && current.account != nullptr) {
         add_count(m_refused_by_account, current.account->name, *current.table->accounts);
     }
 }
@@ -385,6 +394,14 @@
     case refusal::answer_timeout:
         status = http::status::gateway_timeout;
         break;
+    case refusal::over_quota:
+        // Spreads the returns over the time in which the units in use become free.
+        status = http::status::too_many_requests;
+        retry_after = min_retry_after +
+                      duration{static_cast<duration::rep>(
+                          m_random() % static_cast<std::uint64_t>(
+                                           std::max(m_settings.quota_window, min_retry_after).count()))};
+        break;
     default:
         // Spreads the retries of refused callers, so that they do not arrive together and meet the same
         // queue.
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -41,18 +41,22 @@
     no_account,     ///< It carries no key of a client account.
     /// It is not known whether its key still holds, as the configuration has not been confirmed for long.
     accounts_unconfirmed,
+    over_quota,    ///< Its account has used its quota.
+    quota_unknown, ///< No units of its account's quota may be used, as the controller is out of reach.
 };
-constexpr enum_table<refusal, 14> refusal_names{"no_config",      "no_route",
+constexpr enum_table<refusal, 16> refusal_names{"no_config",      "no_route",
                                                 "no_target",      "no_owner",
                                                 "overload",       "shortage",
                                                 "cold",           "quiet",
                                                 "out_of_time",    "target_failed",
                                                 "answer_timeout", "stopping",
-                                                "no_account",     "accounts_unconfirmed"};
+                                                "no_account",     "accounts_unconfirmed",
+                                                "over_quota",     "quota_unknown"};
 
 namespace platform {
 struct target_answer;
 }
+class quota_client;
 
 class request_router {
 public:
@@ -71,6 +75,8 @@
 
     /// How many requests of each client account were refused and have not run.
     auto refused_by_account() const -> const account_counts& { return m_refused_by_account; }
+    /// Limits the requests of accounts by @a quotas, which must outlive the requests in progress.
+    auto set_quotas(quota_client& quotas) -> void { m_quotas = &quotas; }
 
     /// Returns the requests counted since the last call.
     auto take_sample() -> traffic_sample { return std::exchange(m_sample, {}); }
@@ -97,6 +103,7 @@
     auto start_request(request_context& started, const http_request& request) -> std::optional<refusal>;
     auto identify(request_context& started, const http_request& request) const -> std::optional<refusal>;
     auto route(request_context& current, http_request& request) -> boost::asio::awaitable<route_outcome>;
+    auto take_unit(request_context& current) -> boost::asio::awaitable<std::optional<refusal>>;
     auto choose(request_context& current) -> target_choice;
     auto choose_owner(request_context& current) -> target_choice;
     static auto transfer_wait_end(const request_context& current, const target_view* next, instant now)
@@ -144,6 +151,7 @@
     traffic_sample m_sample;
     account_counts m_refused_by_account;
     std::function<duration()> m_config_age;
+    quota_client* m_quotas = nullptr;        ///< Null: no account has a limit.
     std::set<request_context*> m_waiting;    ///< Requests that wait for an answer of their target.
     instant m_refuse_since = instant::max(); ///< From when on requests that may not finish are refused.
     instant m_give_up_at = instant::max();
