Share load reports of targets among the instances of a data centre

Cause: an instance hears from a target only in responses to its own requests, seconds apart at this fleet size, while a target's slowness changes every 400 ms.

Change: instances send what they hear to the strongest one of their data centre each 150 ms and get what others heard (load_exchange, load_sharing). A report of others counts by its age, subtracts this instance's requests at that time and never replaces a newer one. With shared reports requests are chosen among 12 targets, with a larger random part, and a keyed request is refused while its owner's queue is known to be full. Service times are divided by the slowness in force.

--- a/src/emulator/fleet_model.cpp
+++ b/src/emulator/fleet_model.cpp
@@ -1,6 +1,7 @@
 #include "fleet_model.h"
 
 #include "admission/gate.h"
+#include "admission/load_exchange.h"
 #include "admission/target_subset.h"
 #include "core/rendezvous.h"
 
@@ -30,6 +31,8 @@
     double noise = 1;
     std::uint32_t running = 0;
     std::deque<request_ref> waiting;
+    std::uint32_t coming = 0;         ///< Requests on their way to it.
+    std::deque<shared_report> states; ///< Oldest first.
 };
 
 struct instance_state {
@@ -68,6 +71,9 @@
     auto begin_work(const request_ref& request) -> void;
     auto end_work(const request_ref& request) -> void;
     auto report_of(const target_state& target) const -> load_report;
+    auto note_state(target_state& target) -> void;
+    auto hear_of_others(std::size_t instance) -> void;
+    auto see_everything(instance_state& from) -> void;
     auto come_back(const request_ref& request, send_result result, const load_report& report) -> void;
     auto give_up(const request_ref& request) -> void;
     auto change_noise() -> void;
@@ -102,7 +108,7 @@
         }
         if (options.subsets) {
             reduce_to_subset(made.known, hash_text("instance-" + std::to_string(index)),
-                             subset_size(rate, {}), {}, {});
+                             options.subset > 0 ? options.subset : subset_size(rate, {}), {}, {});
         }
     }
     for (std::size_t index = 0; index < options.instances; ++index) {
@@ -137,7 +143,13 @@
     auto request = std::make_shared<sent_request>();
     *request = {.instance = instance, .arrived = m_now, .sent = m_now};
     m_result.requests += counts(*request) ? 1 : 0;
-    auto* best = choose_view(from.known, {}, m_random(), m_now);
+    if (m_options.shared_reports) {
+        hear_of_others(instance);
+    }
+    if (m_options.knows_everything) {
+        see_everything(from);
+    }
+    auto* best = choose_view(from.known, {.jitter = m_options.jitter}, m_random(), m_now);
     const auto times =
         request_times{.deadline = m_now + m_options.deadline, .objective = m_now + m_options.objective};
     if (best == nullptr ||
@@ -146,7 +158,8 @@
         return;
     }
     request->target = static_cast<std::size_t>(best - from.views.data());
-    on_sent(*best);
+    on_sent(*best, m_now);
+    ++m_targets[request->target].coming;
     at(m_now + m_options.one_way, [this, request] { reach_target(request); });
     at(m_now + m_options.deadline, [this, request] { give_up(request); });
 }
@@ -158,12 +171,54 @@
             .slowness = target.noise};
 }
 
+/// Keeps the present state of @a target for instances that learn of it later.
+auto fleet::note_state(target_state& target) -> void {
+    const auto report = report_of(target);
+    target.states.push_back(
+        {.requests = report.running + report.waiting, .slowness = report.slowness, .reported_at = m_now});
+    while (m_now - target.states.front().reported_at > 2 * m_options.most_delay) {
+        target.states.pop_front();
+    }
+}
+
+/// Merges the states of targets that have become known to @a instance.
+auto fleet::hear_of_others(std::size_t instance) -> void {
+    const auto span = static_cast<std::uint64_t>((m_options.most_delay - m_options.least_delay).count());
+    const auto second = (m_now - instant{}) / std::chrono::seconds{1};
+    for (auto* view : m_instances[instance].known) {
+        const auto pair = std::to_string(instance) + "/" + view->listed.id.value();
+        const auto weight = rendezvous_weight(static_cast<std::uint64_t>(second), pair);
+        const auto until = m_now - m_options.least_delay - duration{weight % span};
+        const auto index = static_cast<std::size_t>(view - m_instances[instance].views.data());
+        const auto& states = m_targets[index].states;
+        const auto found = std::find_if(states.rbegin(), states.rend(),
+                                        [&](const auto& each) { return each.reported_at <= until; });
+        if (found != states.rend()) {
+            auto heard = *found;
+            heard.reported_at = until;
+            on_shared_report(*view, heard, m_now);
+        }
+    }
+}
+
+auto fleet::see_everything(instance_state& from) -> void {
+    for (auto* view : from.known) {
+        const auto& target = m_targets[static_cast<std::size_t>(view - from.views.data())];
+        view->service_us = static_cast<double>(m_options.work.count()) / target.speed;
+        const auto requests =
+            target.coming + target.running + static_cast<std::uint32_t>(target.waiting.size());
+        set_report(*view, requests - std::min(requests, view->in_flight), target.noise, m_now);
+    }
+}
+
 auto fleet::reach_target(const request_ref& request) -> void {
     auto& target = m_targets[request->target];
+    --target.coming;
     if (target.running < m_options.slots) {
         begin_work(request);
     } else if (target.waiting.size() < m_options.queue) {
         target.waiting.push_back(request);
+        note_state(target);
     } else {
         const auto report = report_of(target);
         at(m_now + m_options.one_way,
@@ -174,6 +229,7 @@
 auto fleet::begin_work(const request_ref& request) -> void {
     auto& target = m_targets[request->target];
     ++target.running;
+    note_state(target);
     // A gamma distribution has the wanted mean and spread, and no work takes less than nothing.
     const auto shape = 1.0 / (m_options.work_spread * m_options.work_spread);
     const auto factor = std::gamma_distribution<double>{shape, 1.0 / shape}(m_random);
@@ -185,6 +241,7 @@
     auto& target = m_targets[request->target];
     --target.running;
     const auto report = report_of(target);
+    note_state(target);
     if (!request->ended) {
         at(m_now + m_options.one_way,
            [this, request, report] { come_back(request, send_result::answered, report); });
@@ -215,6 +272,7 @@
     }
     if (result == send_result::shed) {
         ++m_result.shed;
+        m_latencies.push_back(static_cast<double>(m_options.deadline.count()) / 1000.0);
         return;
     }
     const auto in_time = took <= m_options.objective;
@@ -230,12 +288,16 @@
     auto& view = m_instances[request->instance].views[request->target];
     on_ended(view, send_result::no_answer, m_now - request->sent, {}, m_now);
     record_answer(m_instances[request->instance].lateness, true);
-    m_result.timed_out += counts(*request) ? 1 : 0;
+    if (counts(*request)) {
+        ++m_result.timed_out;
+        m_latencies.push_back(static_cast<double>(m_options.deadline.count()) / 1000.0);
+    }
 }
 
 auto fleet::change_noise() -> void {
     for (auto& target : m_targets) {
         target.noise = uniform() < m_options.noisy_share ? m_options.noise : 1.0;
+        note_state(target);
     }
     if (m_now - instant{} < m_options.run) {
         at(m_now + m_options.noise_period, [this] { change_noise(); });
@@ -258,6 +320,9 @@
         const auto middle = m_latencies.begin() + static_cast<std::ptrdiff_t>(m_latencies.size() / 2);
         std::nth_element(m_latencies.begin(), middle, m_latencies.end());
         m_result.waited_ms = *middle;
+        const auto last = m_latencies.begin() + static_cast<std::ptrdiff_t>(m_latencies.size() * 99 / 100);
+        std::nth_element(m_latencies.begin(), last, m_latencies.end());
+        m_result.slowest_ms = *last;
     }
     return m_result;
 }
--- a/src/emulator/fleet_model.h
+++ b/src/emulator/fleet_model.h
@@ -32,7 +32,15 @@
     duration run = std::chrono::seconds{20};
     duration warm_up = std::chrono::seconds{3}; ///< Not counted.
     std::uint64_t seed = 1;
-    bool subsets = true; ///< Whether an instance looks at a few targets only; see subset_size().
+    /// Whether instances also learn the state of the targets as it was some time ago; how long differs by
+    /// instance and target and changes every second.
+    bool shared_reports = false;
+    duration least_delay = std::chrono::milliseconds{50};
+    duration most_delay = std::chrono::milliseconds{1000};
+    bool knows_everything = false; ///< Whether instances know the present state of all targets.
+    double jitter = 0.12;          ///< See choice_context.
+    std::size_t subset = 0;        ///< Size of the subsets; 0: by subset_size().
+    bool subsets = true;           ///< Whether an instance looks at a few targets only; see subset_size().
 };
 
 struct fleet_result {
@@ -44,6 +52,7 @@
     std::uint64_t timed_out = 0; ///< Sent and not answered in time.
     double worth = 0;            ///< Share of what all requests are worth.
     double waited_ms = 0;        ///< Median time of an answer.
+    double slowest_ms = 0; ///< The 99th percentile; one that was shed or timed out counts as the deadline.
 };
 
 /// Plays one run. Thread safe.
--- a/src/libteaselcross/admission/target_view.cpp
+++ b/src/libteaselcross/admission/target_view.cpp
@@ -9,16 +9,18 @@
 
 namespace {
 
+/// Reports of others count as absent after this time without one: about the longest interval between
+/// reports of a target that is in use.
+constexpr auto shared_report_validity = duration{std::chrono::seconds{2}};
+
 /// Weight of the last report; decays exponentially with its age.
 auto freshness(const target_view& view, const view_options& options, instant now) -> double {
     const auto age = static_cast<double>((now - view.reported_at).count());
     return std::exp(-age / static_cast<double>(options.report_decay_time.count()));
 }
 
-auto service_time(const target_view& view, const view_options& options, double fresh) -> double {
-    const auto base =
-        view.service_us > 0 ? view.service_us : static_cast<double>(options.default_service_time.count());
-    return base * (1.0 + (view.slowness - 1.0) * fresh);
+auto note_change(target_view& view, instant now) -> void {
+    view.changes.at(view.change_count++ % view.changes.size()) = {.at = now, .before = view.in_flight};
 }
 
 auto may_get_request(const target_view& view, const choice_context& context, instant now) -> bool {
@@ -47,9 +49,19 @@
     return view.usual_other_requests + (view.other_requests - view.usual_other_requests) * fresh;
 }
 
+auto has_shared_reports(const target_view& view, instant now) -> bool {
+    return view.shared_at != instant{} && now - view.shared_at < shared_report_validity;
+}
+
+auto expected_slowness(const target_view& view, const view_options& options, instant now) -> double {
+    const auto usual = has_shared_reports(view, now) ? view.usual_slowness : 1.0;
+    return usual + (view.slowness - usual) * freshness(view, options, now);
+}
+
 auto expected_finish(const target_view& view, const view_options& options, instant now) -> duration {
-    const auto fresh = freshness(view, options, now);
-    const auto service = service_time(view, options, fresh);
+    const auto usual =
+        view.service_us > 0 ? view.service_us : static_cast<double>(options.default_service_time.count());
+    const auto service = usual * expected_slowness(view, options, now);
     const auto slots = std::max(1U, view.listed.slots);
     const auto ahead = view.in_flight + expected_other_requests(view, options, now);
     // Partly used slots already make the next request slower on average, before a queue forms.
@@ -85,12 +97,27 @@
     view.cold_until = std::max(view.cold_until, now + period);
 }
 
-auto on_sent(target_view& view) -> void {
+auto on_sent(target_view& view, instant now) -> void {
+    note_change(view, now);
     ++view.in_flight;
 }
 
+auto in_flight_at(const target_view& view, instant when) -> std::uint32_t {
+    const auto size = static_cast<std::uint32_t>(view.changes.size());
+    auto then = view.in_flight;
+    for (auto back = 1U; back <= std::min(view.change_count, size); ++back) {
+        const auto& change = view.changes.at((view.change_count - back) % size);
+        if (change.at <= when) {
+            break;
+        }
+        then = change.before;
+    }
+    return then;
+}
+
 auto on_ended(target_view& view, send_result result, duration latency, const view_options& options,
               instant now) -> void {
+    note_change(view, now);
     view.in_flight -= std::min(view.in_flight, 1U);
     if (result == send_result::withdrawn) {
         return;
@@ -119,23 +146,29 @@
     const auto slots = std::max(1U, view.listed.slots);
     const auto ahead = static_cast<double>(view.in_flight + view.other_requests);
     const auto turns = 1.0 + std::max(0.0, ahead + 1.0 - slots) / slots;
-    const auto sample = static_cast<double>(latency.count()) / turns;
+    const auto sample = static_cast<double>(latency.count()) / (turns * view.slowness);
     view.service_us =
         view.service_us > 0 ? view.service_us + (sample - view.service_us) * options.smoothing : sample;
 }
 
 auto on_report(target_view& view, const load_report& report, instant now) -> void {
     const auto total = report.running + report.waiting;
-    view.other_requests = total > view.in_flight ? total - view.in_flight : 0;
+    set_report(view, total > view.in_flight ? total - view.in_flight : 0, report.slowness, now);
+}
+
+auto set_report(target_view& view, std::uint32_t other_requests, double slowness, instant reported_at)
+    -> void {
+    view.other_requests = other_requests;
     view.usual_other_requests +=
         (view.other_requests - view.usual_other_requests) * view_options{}.report_smoothing;
-    view.slowness = std::max(report.slowness, 0.1);
-    view.reported_at = now;
+    view.slowness = std::max(slowness, 0.1);
+    constexpr auto slowness_smoothing = 0.01; // The mean of a value that changes every few reports.
+    view.usual_slowness += (view.slowness - view.usual_slowness) * slowness_smoothing;
+    view.reported_at = reported_at;
 }
 
 auto choose_view(const std::vector<target_view*>& targets, const choice_context& context,
                  std::uint64_t tie_break, instant now) -> target_view* {
-    constexpr auto jitter = 0.12; // Keeps instances with the same reports from choosing the same target.
     target_view* best = nullptr;
     auto lowest_cost = 0.0;
     for (auto* candidate : targets) {
@@ -144,7 +177,7 @@
         }
         const auto weight = rendezvous_weight(tie_break, candidate->listed.id.value());
         const auto jitter_factor =
-            1.0 + jitter * static_cast<double>(weight >> 11U) / static_cast<double>(1ULL << 53U);
+            1.0 + context.jitter * static_cast<double>(weight >> 11U) / static_cast<double>(1ULL << 53U);
         const auto candidate_cost = cost(*candidate, context, now) * jitter_factor;
         if (best == nullptr || candidate_cost < lowest_cost) {
             best = candidate;
--- a/src/libteaselcross/admission/target_view.h
+++ b/src/libteaselcross/admission/target_view.h
@@ -8,6 +8,7 @@
 #include "core/identifier.h"
 #include "core/time.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -39,6 +40,12 @@
     double slowness = 1; ///< Current processing time relative to the usual one.
 };
 
+/// A change of the number of this instance's own requests at a target.
+struct in_flight_change {
+    instant at{};
+    std::uint32_t before = 0;
+};
+
 struct target_view {
     listed_target listed;
     std::uint32_t in_flight = 0;      ///< Sent by this instance and not yet ended.
@@ -46,6 +53,7 @@
     std::uint32_t other_requests = 0; ///< Requests of other instances at the last report.
     double usual_other_requests = 0;  ///< Smoothed over reports; assumed once a report is stale.
     double slowness = 1;              ///< As last reported.
+    double usual_slowness = 1;        ///< Smoothed over reports.
     instant reported_at{};
     std::uint32_t silent_sends = 0; ///< Consecutive sends without any answer.
     instant avoid_until{};          ///< End of the backoff; choose_view() skips the target before.
@@ -59,6 +67,11 @@
     double cold_credit = 0; ///< Tokens of the cold rate limit; one per send.
     instant cold_credit_updated{};
     std::uint64_t answer_count = 0;
+    /// The latest changes of in_flight, as a ring; see in_flight_at().
+    std::array<in_flight_change, 8> changes{};
+    std::uint32_t change_count = 0;
+    instant shared_at{};       ///< When a report of another instance last arrived.
+    std::uint32_t full_at = 0; ///< Requests at the target when its queue was last full; 0 if unknown.
 };
 
 /// Token bucket that limits what this instance sends to a cold target.
@@ -90,6 +103,13 @@
 /// Estimates the time until a request sent at @a now is answered.
 auto expected_finish(const target_view& view, const view_options& options, instant now) -> duration;
 
+/// Estimates how much longer than usual the target takes now: the last report, which decays towards the usual
+/// slowness. Without reports of other instances it decays towards 1, since few reports give no good mean.
+auto expected_slowness(const target_view& view, const view_options& options, instant now) -> double;
+
+/// Whether reports of other instances about the target arrive.
+auto has_shared_reports(const target_view& view, instant now) -> bool;
+
 /// Whether @a view is cold at @a now.
 auto is_cold(const target_view& view, instant now) -> bool;
 
@@ -101,8 +121,11 @@
 /// Marks a target as cold from @a now on, for at least @a period.
 auto mark_cold(target_view& view, duration period, instant now) -> void;
 
-/// Records that a request was sent.
-auto on_sent(target_view& view) -> void;
+/// Records that a request was sent at @a now, which only in_flight_at() uses.
+auto on_sent(target_view& view, instant now = {}) -> void;
+
+/// This instance's own requests at the target at @a when, as far as the latest changes tell.
+auto in_flight_at(const target_view& view, instant when) -> std::uint32_t;
 
 /// How a send ended.
 enum class send_result {
@@ -119,6 +142,9 @@
               instant now) -> void;
 /// Records a load report of the target.
 auto on_report(target_view& view, const load_report& report, instant now) -> void;
+/// Records a report of @a reported_at, with the requests of other instances that it shows.
+auto set_report(target_view& view, std::uint32_t other_requests, double slowness, instant reported_at)
+    -> void;
 
 /// What the choice among the targets of a service considers besides their load.
 struct choice_context {
@@ -127,6 +153,9 @@
     /// A target in the own data centre that is expected to answer later than this is not preferred.
     duration max_local_finish = duration::max();
     std::vector<target_id> tried_targets; ///< Targets to which this request was already sent.
+    /// Costs are raised by a random part of up to this, so that instances with the same reports do not choose
+    /// the same target.
+    double jitter = 0.12;
     view_options view;
 };
 
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -112,6 +112,7 @@
     cluster_state_feed m_feed;
     request_router m_router;
     controller m_controller;
+    load_sharing m_sharing;
     peer_service m_peers;
     std::unique_ptr<http_server> m_callers;
     std::unique_ptr<http_server> m_readiness;
@@ -133,7 +134,9 @@
       m_feed{m_settings, m_cluster, m_store}, m_router{m_settings, m_cluster, m_measured, m_answer_memory,
                                                        executor()},
       m_controller{m_settings, m_cluster, m_store, m_router, m_measured, executor(), m_start_time_ms},
-      m_peers{m_settings, m_store, m_controller, m_measured}, m_signals{m_context, SIGTERM, SIGINT, SIGHUP} {
+      m_sharing{m_settings, m_cluster, m_measured, executor()},
+      m_peers{m_settings, m_store, m_controller, m_sharing, m_measured}, m_signals{m_context, SIGTERM, SIGINT,
+                                                                                   SIGHUP} {
     m_settings_text = read_file(m_settings_file).value_or(std::string{});
 }
 
@@ -184,6 +187,8 @@
                            [this] { return reads_store_directly(); });
     });
     spawn("controller", [this] { return m_controller.run(); });
+    m_router.set_load_sharing(m_sharing);
+    spawn("load_sharing", [this] { return m_sharing.run(); });
     spawn("housekeeping", [this] { return run_housekeeping(); });
 }
 
@@ -255,6 +260,7 @@
     add("body_memory_bytes", "requests", m_request_memory.in_use());
     add("overdue_grant_connections", "in_use", m_controller.overdue().size());
     add("overdue_grant_connections", "limit", m_controller.overdue().limit());
+    m_sharing.add_gauges(values);
     return values;
 }
 
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -137,8 +137,9 @@
 }
 
 peer_service::peer_service(const gateway_settings& settings, store_access& store, controller& own_controller,
-                           metrics& measured)
-    : m_settings{settings}, m_store{store}, m_controller{own_controller}, m_measured{measured} {}
+                           load_sharing& sharing, metrics& measured)
+    : m_settings{settings}, m_store{store}, m_controller{own_controller}, m_sharing{sharing}, m_measured{
+                                                                                                  measured} {}
 
 auto peer_service::relay(responder& link, const http_request& request) -> asio::awaitable<bool> {
     if (!m_store.is_healthy()) {
@@ -177,6 +178,8 @@
         response.body() = m_controller.on_resign_request(request.body());
     } else if (target == controller_paths::announce && request.method() == http::verb::post) {
         response.body() = m_controller.on_controller_announcement(request.body());
+    } else if (target == load_exchange_path && request.method() == http::verb::post) {
+        response.body() = m_sharing.answer(request.body());
     } else if (target == "/metrics") {
         response.set(http::field::content_type, "text/plain; version=0.0.4");
         response.body() = m_measured.to_text();
--- a/src/teaselcross/gateway/peers.h
+++ b/src/teaselcross/gateway/peers.h
@@ -4,6 +4,7 @@
 // controller.
 
 #include "gateway/controller.h"
+#include "gateway/load_sharing.h"
 #include "gateway/request_router.h"
 #include "gateway/store_follower.h"
 
@@ -13,7 +14,7 @@
 class peer_service {
 public:
     peer_service(const gateway_settings& settings, store_access& store, controller& own_controller,
-                 metrics& measured);
+                 load_sharing& sharing, metrics& measured);
 
     /// Serves the objects of @a follower to other instances; it must outlive this object.
     auto add_follower(store_follower& follower) -> void { m_followers[follower.kind()] = &follower; }
@@ -27,6 +28,7 @@
     const gateway_settings& m_settings;
     store_access& m_store;
     controller& m_controller;
+    load_sharing& m_sharing;
     metrics& m_measured;
     std::map<std::string, store_follower*> m_followers; ///< By kind.
 };
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -52,13 +52,23 @@
                                               {"out_ms", (started - *out_since).count() / 1000},
                                               {"owner_of_key", current.owner == view.listed.id}});
     }
-    on_sent(view);
+    on_sent(view, started);
+    if (m_sharing != nullptr) {
+        m_sharing->on_request(started);
+    }
     auto outcome = co_await exchange(current, *target, request, started + limit);
     const auto end = outcome.result;
     const auto now = monotonic_now();
     if (outcome.fields.load) {
         on_report(view, *outcome.fields.load, now);
     }
+    if (outcome.fields.load && end != attempt_result::misdirected) {
+        const auto rejected = end == attempt_result::shed && !outcome.fields.quiet_for;
+        note_queue(view, *outcome.fields.load, rejected);
+        if (m_sharing != nullptr) {
+            m_sharing->on_own_report(view, *outcome.fields.load, rejected, now);
+        }
+    }
     record_requests_of_target(current, view, outcome, now);
     auto result = send_result::answered;
     switch (end) {
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -247,6 +247,12 @@
         is_over(out_since, m_settings.evacuation, earliest_time_fraction)) {
         return {.reason = refusal::no_owner, .should_wait = true, .retry_after = owner_change_timeout};
     }
+    if (is_known_full(view, {}, now)) {
+        // It would be rejected there, and a key has no other target.
+        m_measured.count(counter::known_full_refusals);
+        return {.reason = refusal::overload,
+                .retry_after = std::max(min_retry_after, expected_finish(view, {}, now) / 2)};
+    }
     if (const auto reason = check_send(current, view, now)) {
         return {.reason = reason, .retry_after = current.retry_after};
     }
@@ -272,7 +278,11 @@
         }
     }
     const auto rate = request_rate(m_budgets[current.service], budget_options(), now);
-    reduce_to_subset(open, m_own_hash, subset_size(rate, {}), context, {});
+    const auto shared = shares_reports(candidates, now);
+    if (shared) {
+        context.jitter = shared_choice_jitter;
+    }
+    reduce_to_subset(open, m_own_hash, subset_size(rate, {}, shared), context, {});
     auto* best = choose_view(open, context, m_random(), now);
     if (best == nullptr) {
         if (candidates.empty()) {
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -6,6 +6,7 @@
 #include "admission/retry_detection.h"
 #include "delivery/retry_budget.h"
 #include "gateway/cluster_state.h"
+#include "gateway/load_sharing.h"
 #include "http/server.h"
 #include "metrics/metrics.h"
 
@@ -54,6 +55,9 @@
     /// Returns the requests counted since the last call.
     auto take_sample() -> traffic_sample { return std::exchange(m_sample, {}); }
 
+    /// Passes load reports of targets on to @a sharing, which must outlive this object.
+    auto set_load_sharing(load_sharing& sharing) -> void { m_sharing = &sharing; }
+
     /// Prepares for the end of the process: requests that have not been sent by @a since are refused if their
     /// time may last beyond @a give_up, when give_up_waiting() will be called.
     auto refuse_unfinishable(instant since, instant give_up) -> void;
@@ -113,6 +117,7 @@
     instant m_refuse_since = instant::max(); ///< From when on requests that may not finish are refused.
     instant m_give_up_at = instant::max();
     bool m_has_given_up = false;
+    load_sharing* m_sharing = nullptr; ///< Null if reports are not shared.
     std::mt19937_64 m_random{std::random_device{}()};
 };
 
--- a/src/teaselcross/metrics/metrics.h
+++ b/src/teaselcross/metrics/metrics.h
@@ -39,8 +39,12 @@
     ranges_moved,
     sends_to_data_centres_out,
     quiet_requests,
+    load_messages,
+    load_messages_unanswered,
+    shared_reports_merged,
+    known_full_refusals,
 };
-constexpr enum_table<counter, 23> counter_names{"requests_total",
+constexpr enum_table<counter, 27> counter_names{"requests_total",
                                                 "answered_total",
                                                 "refused_not_run_total",
                                                 "outcome_unknown_total",
@@ -62,7 +66,11 @@
                                                 "grants_unanswered_total",
                                                 "ranges_moved_total",
                                                 "sends_to_data_centres_out_total",
-                                                "quiet_requests_total"};
+                                                "quiet_requests_total",
+                                                "load_messages_total",
+                                                "load_messages_unanswered_total",
+                                                "shared_reports_merged_total",
+                                                "known_full_refusals_total"};
 
 /// The operation whose latency is recorded.
 enum class timing { request, keeper_queue, target, event_loop_delay };
