--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -113,6 +113,7 @@
     cluster_state_feed m_feed;
     request_router m_router;
     controller m_controller;
+    load_sharing m_sharing;
     quota_service m_quota_service;
     connection_pool m_quota_pool;
     quota_client m_quotas;
@@ -137,11 +138,14 @@
       m_feed{m_settings, m_cluster, m_store}, m_router{m_settings, m_cluster, m_measured, m_answer_memory,
                                                        executor()},
       m_controller{m_settings, m_cluster, m_store, m_router, m_measured, executor(), m_start_time_ms},
+      m_sharing{m_settings, m_cluster, m_measured, executor()},
       m_quota_service{m_settings, m_cluster, m_controller}, m_quota_pool{executor(), quota_pool_options},
       m_quotas{m_settings, m_cluster, make_quota_controller(m_controller, m_quota_service, m_quota_pool),
                m_start_time_ms, executor()},
-      m_peers{m_settings, m_store, m_controller, m_quota_service, m_measured}, m_signals{m_context, SIGTERM,
-                                                                                         SIGINT, SIGHUP} {
+      m_peers{m_settings, m_store, m_controller, m_quota_service, m_sharing, m_measured}, m_signals{m_context,
+                                                                                                    SIGTERM,
+                                                                                                    SIGINT,
+                                                                                                    SIGHUP} {
     m_settings_text = read_file(m_settings_file).value_or(std::string{});
 }
 
@@ -194,6 +198,8 @@
                            [this] { return reads_store_directly(); });
     });
     spawn("controller", [this] { return m_controller.run(); });
+    m_router.set_load_sharing(m_sharing);
+    spawn("load_sharing", [this] { return m_sharing.run(); });
     spawn("housekeeping", [this] { return run_housekeeping(); });
 }
 
@@ -276,6 +282,7 @@
     for (auto& quota_gauges : {m_quotas.gauges(), m_quota_service.gauges()}) {
         values.insert(values.end(), quota_gauges.begin(), quota_gauges.end());
     }
+    m_sharing.add_gauges(values);
     return values;
 }
 
