--- a/src/libteaselcross/quota/quota_share.cpp
+++ b/src/libteaselcross/quota/quota_share.cpp
@@ -60,7 +60,8 @@
 }
 
 auto wanted_units(const account_share& account, std::int64_t in_use, instant now) -> std::int64_t {
-    const auto reserve = std::max<std::int64_t>(reserve_of(account, now), has_need(account, now) ? 1 : 0);
+    const auto is_denied = account.waiting == 0 && has_need(account, now);
+    const auto reserve = std::max<std::int64_t>(reserve_of(account, now), is_denied ? 1 : 0);
     const auto free = account.units - in_use;
     return 2 * free < reserve ? reserve - free : 0;
 }
--- a/src/teaselcross/gateway/quota_client.cpp
+++ b/src/teaselcross/gateway/quota_client.cpp
@@ -56,7 +56,10 @@
             co_await query_controller();
             continue;
         }
-        co_await m_needed.wait(m_waiting > 0 ? waiting_check_interval : check_interval);
+        const auto pause = m_share.accounts.empty() ? m_share.timing.interval
+                           : m_waiting > 0          ? waiting_check_interval
+                                                    : check_interval;
+        co_await m_needed.wait(pause);
         m_needed.notify(); // Ends the wait that remains registered after a time limit.
     }
 }
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -102,6 +102,7 @@
                                             }};
         outcome = co_await route(current, request);
     }
+    current.unit.reset(); // Before a caller that reads slowly gets its answer.
     if (current.caller_left) {
         m_measured.count(counter::callers_left);
         co_return false;
--- /dev/null
+++ b/tests/quota/quota_ledger_test.cpp
@@ -0,0 +1,78 @@
+// What a controller may count as free while earlier or later controllers, of which it does not hear, act.
+
+#include "quota/quota_ledger.h"
+
+#include <gtest/gtest.h>
+
+namespace teaselcross::test {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr auto start = instant{seconds{100}};
+constexpr auto epoch = quota_epoch{.era = 1, .number = 2};
+
+auto make_ledger(bool is_first) -> quota_ledger {
+    auto ledger = begin_ledger({}, epoch, is_first, start);
+    set_totals(ledger, {{"a", 100}});
+    return ledger;
+}
+
+auto make_query(std::uint64_t number, const quota_statement& stated) -> quota_query {
+    return {.instance = "i",
+            .start_time_ms = 1,
+            .number = number,
+            .epoch = epoch,
+            .is_full = true,
+            .accounts = {stated}};
+}
+
+const auto half = quota_statement{.account = "a", .total = 100, .share = 50, .held = 50};
+
+} // namespace
+
+/// The instance goes on with the share that it has stated to the successor.
+TEST(quota_ledger, share_of_a_silent_instance_stays_out_without_the_lease) {
+    auto ledger = make_ledger(true);
+    on_query(ledger, make_query(1, half), true, start);
+    reclaim_units(ledger, {.holds_lease = false}, start + seconds{20});
+    EXPECT_EQ(units_out(ledger, "a"), 50);
+    reclaim_units(ledger, {.holds_lease = true}, start + seconds{20});
+    EXPECT_EQ(units_out(ledger, "a"), 0);
+}
+
+/// It may have confirmed shares until it ended.
+TEST(quota_ledger, unstated_units_stay_out_until_those_of_an_earlier_controller_have_expired) {
+    auto ledger = make_ledger(false);
+    const auto takeover = quota_takeover{.earlier_ended = start + seconds{10}, .holds_lease = true};
+    reclaim_units(ledger, takeover, start + seconds{23});
+    EXPECT_EQ(ledger.accounts["a"].pool, 0);
+    reclaim_units(ledger, takeover, start + seconds{24});
+    EXPECT_EQ(ledger.accounts["a"].pool, 100);
+}
+
+TEST(quota_ledger, units_given_up_after_a_takeover_are_in_the_pool_at_once) {
+    auto ledger = make_ledger(false);
+    on_query(ledger, make_query(1, half), true, start);
+    EXPECT_EQ(ledger.accounts["a"].pool, 0);
+    on_query(ledger, make_query(2, {.account = "a", .total = 100, .share = 20, .held = 20}), true, start);
+    EXPECT_EQ(ledger.accounts["a"].pool, 30);
+}
+
+/// The instance applies a lower quota already; its units are not there any more under that one.
+TEST(quota_ledger, units_scaled_down_by_another_quota_are_not_given_to_others) {
+    auto ledger = make_ledger(true);
+    on_query(ledger, make_query(1, half), true, start);
+    on_query(ledger, make_query(2, {.account = "a", .total = 50, .share = 25, .held = 25}), true, start);
+    EXPECT_EQ(ledger.accounts["a"].pool, 50);
+}
+
+TEST(quota_ledger, statement_for_an_earlier_controller_is_not_recorded) {
+    auto ledger = make_ledger(true);
+    auto query = make_query(1, half);
+    query.epoch.number = 1;
+    EXPECT_FALSE(on_query(ledger, query, true, start)->is_recorded);
+    EXPECT_EQ(units_out(ledger, "a"), 0);
+}
+
+} // namespace teaselcross::test
