--- a/tests/quota/quota_ledger_test.cpp
+++ b/tests/quota/quota_ledger_test.cpp
@@ -67,6 +67,15 @@
     EXPECT_EQ(ledger.accounts["a"].pool, 50);
 }
 
+/// Instances that saw other versions of the configuration have not scaled their shares by the same ratio.
+TEST(quota_ledger, shares_beyond_a_lowered_quota_are_taken_back) {
+    auto ledger = make_ledger(true);
+    on_query(ledger, make_query(1, half), true, start);
+    set_totals(ledger, {{"a", 30}});
+    const auto stated = quota_statement{.account = "a", .total = 30, .share = 50, .held = 50};
+    EXPECT_EQ(on_query(ledger, make_query(2, stated), true, start)->accounts.at(0).added, -20);
+}
+
 TEST(quota_ledger, statement_for_an_earlier_controller_is_not_recorded) {
     auto ledger = make_ledger(true);
     auto query = make_query(1, half);
