Place keys by the usual speed of targets

Capacity was slots by a smoothed service time that contained moments of three-fold slowness and queueing, and plan_moves() levelled utilisation, so a slow target kept keys whose requests it answers after their objective.

Instances report single completions of keyed services with the slowness that the target reported. The controller averages them as logarithms over half a minute (balance/target_speeds.h) and calculates for each target the rate at which all have the same marginal expected late answers (balance/speed_balance.h). plan_moves() levels loads relative to these capacities; hot ranges and oversized keys go by what a target can serve. While targets are unequal, loads must be more significant and few moves for lasting loads are in progress at once. Targets within 15% of each other are treated as before.

The whole test program was not built for this commit.

--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -5,6 +5,7 @@
 #include "gateway/holder_calls.h"
 #include "gateway/leaving_messages.h"
 #include "gateway/order_log.h"
+#include "gateway/service_times.h"
 #include "logging/log.h"
 #include "ownership/holder_probe.h"
 #include "platform/store.h"
@@ -209,10 +210,15 @@
                                     ? speed->second.service_us
                                     : default_service_us;
         constexpr auto microseconds = 1e6;
+        const auto planned = state.placement.capacities.find(id);
+        const auto capacity =
+            planned == state.placement.capacities.end() ? holder_capacity{} : planned->second;
         holders[id] = {.incarnation = {.id = id, .start_time_ms = listed.start_time_ms},
                        .eligible = !leaving && !is_cold(known->view, now),
                        .leaving = leaving,
-                       .capacity = listed.slots * microseconds / service_us};
+                       .capacity =
+                           capacity.planned > 0 ? capacity.planned : listed.slots * microseconds / service_us,
+                       .nominal_capacity = capacity.nominal};
     }
     set_holders(state.grantor, std::move(holders));
 }
@@ -226,8 +232,13 @@
     if (now < m_earliest_move) {
         return;
     }
+    refresh_capacities(service, state, now);
     for (const auto& rates : state.rates) {
-        for (const auto& move : plan_moves(grantor, rates)) {
+        const auto is_lasting = &rates == &state.rates.back();
+        if (is_lasting && !is_speed_known(state, now)) {
+            continue;
+        }
+        for (const auto& move : plan_moves(grantor, rates, state.placement)) {
             log::info("range_moves", {{"service", service},
                                       {"first", move.first},
                                       {"last", move.last},
@@ -346,7 +357,8 @@
 
 auto controller::make_report() -> json {
     auto keys = json::object();
-    for (const auto& [service, counts] : m_router.take_sample().key_requests) {
+    const auto sample = m_router.take_sample();
+    for (const auto& [service, counts] : sample.key_requests) {
         auto list = json::array();
         for (const auto& [key, count] : counts) {
             list.push_back({key, count});
@@ -362,6 +374,7 @@
     return {{"from", m_settings.instance},
             {"keys", std::move(keys)},
             {"speeds", std::move(speeds)},
+            {"service_times", service_times_to_json(sample.service_times)},
             {"leaving", to_json(m_cluster.leaving_notices())}};
 }
 
@@ -376,6 +389,7 @@
         }
     }
     apply_leaving(report, now);
+    apply_service_times(report, now);
     for (const auto& [target, service_us] : report.at("speeds").items()) {
         auto& speed = m_target_speeds[target_id{target}].service_us;
         const auto sample = service_us.get<double>();
