Cut hot ranges key by key, and count significance by holders

A hot range was never cut where a single hot key exceeded what the receiver had to spare and a quarter of the difference: of 60 adjacent hot keys, some targets kept five or six. Such a cut may now take up to half of the difference. After a plan with moves for a hot range the next one follows after 200 ms instead of 400 ms. The additional significance while targets are unequal depends on the number of holders.

--- a/src/libteaselcross/balance/range_balance.cpp
+++ b/src/libteaselcross/balance/range_balance.cpp
@@ -313,8 +313,12 @@
         // Limited by the receiver's capacity: a moving range cannot be split again until the move ends.
         const auto spare_capacity = options.overload_threshold * weight_to - to->load;
         const auto wanted = std::min(even, std::max(spare_capacity, even / 4));
-        const auto taken = best_cut(*from, rates, plan.correction, wanted);
+        auto taken = best_cut(*from, rates, plan.correction, wanted);
         const auto min_load = options.min_gain * weight_to / 8; // A smaller range is not worth its renewals.
+        if (taken.load < min_load && options.only_beyond_nominal) {
+            // A hot key at the end of the range exceeds the receiver's spare capacity.
+            taken = best_cut(*from, rates, plan.correction, even);
+        }
         if (taken.keys > 0 && (empty || taken.load >= min_load)) {
             moves.push_back(apply_cut(plan, *from, taken, *to));
         } else if (const auto whole = move_whole_range(plan, *from, options.min_gain)) {
--- a/src/libteaselcross/balance/speed_balance.cpp
+++ b/src/libteaselcross/balance/speed_balance.cpp
@@ -200,7 +200,9 @@
         return plan_moves(state, rates);
     }
     auto options = rates.options;
-    options.significance += placement.options.added_significance;
+    const auto holders = static_cast<double>(std::max<std::size_t>(state.holders.size(), 1));
+    const auto highest = std::sqrt(2 * std::log(holders)); // Expected among so many normal deviations.
+    options.significance += std::max(0.0, highest - placement.options.few_holders_significance);
     if (options.only_beyond_nominal) {
         return plan_moves(state, rates, options);
     }
--- a/src/libteaselcross/balance/speed_balance.h
+++ b/src/libteaselcross/balance/speed_balance.h
@@ -36,9 +36,10 @@
     /// many holders.
     std::size_t max_moves = 4;
     std::size_t holders_per_move = 25;
-    /// Added to the significance of loads while targets are unequal: the planned capacities of many holders
-    /// differ, and random variation would always show one that bears too much.
-    double added_significance = 1.5;
+    /// Significance that is enough for a few holders. While targets are unequal, that of loads rises by what
+    /// the highest of many random deviations exceeds it: random variation would always show one holder that
+    /// bears too much.
+    double few_holders_significance = 1.6;
     /// Minimum difference of relative loads for a move for lasting loads while targets are unequal. At high
     /// loads a slow target needs little more than its part to be late.
     double min_gain = 0.1;
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -245,6 +245,10 @@
                                       {"to", move.to.id},
                                       {"rates_over_ms", rates.options.time_constant.count() / 1000}});
             m_measured.count(counter::ranges_moved);
+            if (!is_lasting) {
+                // A hot range is cut in steps, each by what the last one has left.
+                state.next_balance = now + m_options.balance_interval / 2;
+            }
             start_move(grantor, move.first, move.last, move.to);
         }
     }
