Check the soak's logs for keys of accounts

Cause: the soak checked that no key reaches a target, but not that none is written to a log, and did not tell how many requests had a removed key.

Change: after its end it reads the logs of all instances for keys, and counts requests with keys that were removed or are being removed.

All 16 tests of accounts pass, five more times in random order.

--- a/tests/gateway/client_accounts_test.cpp
+++ b/tests/gateway/client_accounts_test.cpp
@@ -12,7 +12,7 @@
 namespace names = platform::names;
 using fields = std::string;
 
-auto& logged() {
+auto logged() -> std::string& {
     static auto lines = std::string{};
     return lines;
 }
--- a/tests/soak/accounts.cpp
+++ b/tests/soak/accounts.cpp
@@ -3,6 +3,8 @@
 #include "platform/names.h"
 #include "runtime/clock.h"
 
+#include <fstream>
+
 namespace teaselcross::soak {
 
 namespace names = platform::names;
@@ -55,6 +57,7 @@
         const auto now = monotonic_now();
         const auto is_due = now > seen.config_written_at + removal_bound && is_in_touch(seen, id, now);
         expected.key = is_due ? key_state::removed : key_state::changing;
+        ++seen.counts[is_due ? "removed key" : "changing key"];
     }
     if (!key.empty()) {
         request.set(names::credential, key);
@@ -97,4 +100,15 @@
     }
 }
 
+auto check_log(const std::string& file, journal& seen) -> void {
+    auto input = std::ifstream{file};
+    for (auto line = std::string{}; std::getline(input, line);) {
+        if (line.find("lasting-key-") != std::string::npos ||
+            line.find("-of-version-") != std::string::npos) {
+            report_broken(seen, "no key reaches a log", file + ": " + line);
+            return;
+        }
+    }
+}
+
 } // namespace teaselcross::soak
--- a/tests/soak/accounts.h
+++ b/tests/soak/accounts.h
@@ -32,4 +32,7 @@
 /// Reports a response with @a status to the request @a id that does not go with its key.
 auto judge_account(const std::string& id, unsigned status, journal& seen) -> void;
 
+/// Reports a log that a key was written to.
+auto check_log(const std::string& file, journal& seen) -> void;
+
 } // namespace teaselcross::soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -297,6 +297,9 @@
     spawn(m_context, heartbeats());
     spawn(m_context, play());
     m_context.run();
+    for (const auto& each : m_processes) {
+        check_log(each.log_file, m_seen);
+    }
     std::cout << "seed " << m_options.seed << ": " << m_seen.broken << " promises broken;";
     for (const auto& [name, count] : m_seen.counts) {
         std::cout << " " << name << ": " << count << ";";
