Bound what unknown instances hold of a quota; refuse invalid statuses

Cause: after a change of controller with instances lost for good, units that nobody had stated counted as out for 14 s: after a restart of all processes most callers of accounts with a quota were refused for that time. An empty list of accounts opened all routes. A target's response with status 600 to 999 was passed on to the caller, one below 200 with the not-executed field counted as not run, and an interim response ended the request.

Change: no instance is given more than max_share(), and a successor counts as much for each unknown instance. An empty list of accounts fails closed. receive_answer() skips interim responses and refuses statuses outside 200 to 599, for both paths.

--- a/src/libteaselcross/admission/target_view.cpp
+++ b/src/libteaselcross/admission/target_view.cpp
@@ -54,7 +54,7 @@
 }
 
 auto expected_slowness(const target_view& view, const view_options& options, instant now) -> double {
-    const auto usual = has_shared_reports(view, now) ? view.usual_slowness : 1.0;
+    constexpr auto usual = 1.0;
     return usual + (view.slowness - usual) * freshness(view, options, now);
 }
 
@@ -150,7 +150,7 @@
     const auto slots = std::max(1U, view.listed.slots);
     const auto ahead = static_cast<double>(view.in_flight + view.other_requests);
     const auto turns = 1.0 + std::max(0.0, ahead + 1.0 - slots) / slots;
-    const auto sample = static_cast<double>(latency.count()) / (turns * view.slowness);
+    const auto sample = static_cast<double>(latency.count()) / turns;
     view.service_us =
         view.service_us > 0 ? view.service_us + (sample - view.service_us) * options.smoothing : sample;
 }
--- a/src/libteaselcross/quota/quota_ledger.cpp
+++ b/src/libteaselcross/quota/quota_ledger.cpp
@@ -45,10 +45,12 @@
     }
 }
 
-auto give_units(quota_ledger::account& account, quota_ledger::holding& to, const quota_statement& stated)
-    -> std::int64_t {
-    const auto waiting = std::min(account.pool, std::max<std::int64_t>(stated.waiting, 0));
-    const auto spare = (account.pool - waiting) / reserve_parts;
+auto give_units(quota_ledger::account& account, quota_ledger::holding& to, const quota_statement& stated,
+                std::size_t fleet) -> std::int64_t {
+    const auto left = std::max<std::int64_t>(max_share(account.total, fleet) - to.held, 0);
+    const auto available = std::min(account.pool, left);
+    const auto waiting = std::min(available, std::max<std::int64_t>(stated.waiting, 0));
+    const auto spare = std::min((account.pool - waiting) / reserve_parts, available - waiting);
     const auto given = waiting + std::min(spare, std::max<std::int64_t>(stated.wanted, 0));
     account.pool -= given;
     to.held += given;
@@ -100,13 +102,39 @@
     auto& account = state.accounts[stated.account];
     auto added = std::int64_t{0};
     if (stated.total == account.total && account.pool > 0) {
-        added = may_give ? give_units(account, holding, stated) : 0;
+        added = may_give ? give_units(account, holding, stated, state.fleet) : 0;
     } else if (stated.total == account.total && account.pool < 0) {
         added = -excess_share(state, stated.account, account.total, holding);
     }
     return {.account = stated.account, .total = account.total, .added = added, .recorded = holding.held};
 }
 
+/// Number of instances that may hold units which they have not stated, or had an earlier process that may
+/// have used units within the window.
+auto count_unknown(const quota_ledger& state, const std::set<std::string>& instances, instant now)
+    -> std::int64_t {
+    auto count = std::int64_t{0};
+    for (const auto& name : instances) {
+        count += state.holders.contains(name) ? 0 : 1;
+    }
+    for (const auto& [name, processes] : state.holders) {
+        const auto is_new = std::any_of(processes.begin(), processes.end(), [now](const auto& each) {
+            return now < each.second.successor_until;
+        });
+        count += is_new ? 1 : 0;
+    }
+    return count;
+}
+
+/// Frees what cannot be out even if each unknown instance holds as much as it may.
+auto free_unheld_units(quota_ledger& state, const std::set<std::string>& instances, instant now) -> void {
+    const auto unknown = count_unknown(state, instances, now);
+    for (auto& [name, account] : state.accounts) {
+        const auto bound = unknown * max_share(account.total, (state.fleet + 1) / 2);
+        account.pool = std::max<std::int64_t>(account.total - units_out(state, name) - bound, 0);
+    }
+}
+
 /// Settles the ledger once no units can be out that no instance has stated.
 auto settle_when_known(quota_ledger& state, const quota_takeover& takeover, instant now) -> void {
     const auto lifetime = state.timing.validity + state.timing.window + state.timing.margin;
@@ -117,6 +145,9 @@
         have_all_stated ? std::optional{state.all_stated_at.value_or(now)} : std::optional<instant>{};
     const auto have_all_expired = now >= std::max(state.began, takeover.earlier_ended) + lifetime;
     if (!have_all_expired && !(have_all_stated && now >= *state.all_stated_at + state.timing.window)) {
+        if (takeover.instances) {
+            free_unheld_units(state, *takeover.instances, now);
+        }
         return;
     }
     state.is_settled = true;
@@ -171,6 +202,9 @@
     mark_replaced(processes, query.start_time_ms, now);
     from.number = query.number;
     from.heard_at = now;
+    if (!is_known) {
+        from.successor_until = now + state.timing.window + state.timing.margin - query.age;
+    }
     reply.is_recorded = true;
     if (query.is_full) {
         drop_unlisted(state, from, query);
--- a/src/libteaselcross/quota/quota_ledger.h
+++ b/src/libteaselcross/quota/quota_ledger.h
@@ -26,11 +26,14 @@
         std::uint64_t number = 0; ///< Of its last query.
         instant heard_at{};
         std::optional<instant> replaced_at; ///< When a later process of the instance was heard.
+        /// Until then an earlier process of the instance may have sent requests within the window.
+        instant successor_until{};
         std::map<std::string, holding, std::less<>> accounts;
     };
 
     quota_timing timing;
     quota_epoch epoch;
+    std::size_t fleet = 1; ///< Number of instances; limits what one is given.
     instant began{};
     bool is_settled = false; ///< No units are out that no instance has stated.
     std::optional<instant> all_stated_at;
@@ -61,7 +64,10 @@
     -> std::optional<quota_reply>;
 
 /// Returns to the pool what is no longer out at @a now: the shares of processes that are silent or were
-/// replaced, and after a takeover the units that nobody stated.
+/// replaced, and after a takeover the units that nobody stated. Before those are known to be free, the pool
+/// has what is left if each instance of which nothing is known holds the most that it may have been given by
+/// a controller that knew half as many instances. Precondition: the fleet at most doubles within the lifetime
+/// of a share.
 auto reclaim_units(quota_ledger& state, const quota_takeover& takeover, instant now) -> void;
 
 /// Units of @a account that are out at instances, as recorded.
--- a/src/libteaselcross/quota/quota_messages.cpp
+++ b/src/libteaselcross/quota/quota_messages.cpp
@@ -28,6 +28,13 @@
     return to_units(allowed) + to_units((bounds.overage * allowed + bounds.slack) / 2);
 }
 
+auto max_share(std::int64_t total, std::size_t fleet) -> std::int64_t {
+    constexpr auto even_parts = std::int64_t{4};
+    constexpr auto small_share = std::int64_t{10}; // For accounts with few callers.
+    const auto instances = static_cast<std::int64_t>(std::max<std::size_t>(fleet, 1));
+    return std::min(total, even_parts * ((total + instances - 1) / instances) + small_share);
+}
+
 auto quota_totals_of(const account_directory& accounts, const quota_bounds& bounds) -> quota_totals {
     auto totals = quota_totals{};
     for (const auto& [name, account] : accounts.by_name) {
--- a/src/libteaselcross/quota/quota_messages.h
+++ b/src/libteaselcross/quota/quota_messages.h
@@ -36,6 +36,10 @@
 /// Half of what @a bounds allow beyond the quota is left unused. 0 if the quota is no limit. Thread safe.
 auto quota_units(const account_quota& quota, const quota_bounds& bounds) -> std::int64_t;
 
+/// The most units of an account that one of @a fleet instances is given: several times an even part, as
+/// callers spread unevenly. It bounds what an instance of which nothing is known may hold. Thread safe.
+auto max_share(std::int64_t total, std::size_t fleet) -> std::int64_t;
+
 /// Units by account, of the accounts that have a limit.
 using quota_totals = std::map<std::string, std::int64_t, std::less<>>;
 
@@ -67,6 +71,7 @@
     std::uint64_t number = 0;        ///< Rises with each query of the process.
     quota_epoch epoch;               ///< Of the controller that it is meant for.
     bool is_full = false;            ///< It holds nothing of the accounts that are not listed.
+    duration age{};                  ///< How long its process has run, without time in suspension.
     std::vector<quota_statement> accounts;
 };
 
--- a/src/libteaselcross/quota/quota_share.cpp
+++ b/src/libteaselcross/quota/quota_share.cpp
@@ -151,6 +151,7 @@
                              .number = ++state.number,
                              .epoch = state.epoch,
                              .is_full = state.is_full_due,
+                             .age = now - state.started,
                              .accounts = {}};
     for (auto& [name, account] : state.accounts) {
         const auto in_use = used(account, state.timing.window, now);
--- a/src/libteaselcross/quota/quota_share.h
+++ b/src/libteaselcross/quota/quota_share.h
@@ -34,6 +34,7 @@
     quota_timing timing;
     std::string instance;
     std::uint64_t start_time_ms = 0;
+    instant started{}; ///< Start of the process.
     quota_epoch epoch; ///< Of the latest controller that was heard.
     std::uint64_t number = 0;
     bool is_full_due = true;           ///< The controller has no record of this process.
--- a/src/libteaselcross/routing/route_table.cpp
+++ b/src/libteaselcross/routing/route_table.cpp
@@ -5,7 +5,7 @@
 namespace teaselcross {
 
 auto needs_account(const route_table& table, const route_rule& rule) -> bool {
-    return table.accounts != nullptr && !table.accounts->by_name.empty() && !rule.is_public;
+    return table.accounts != nullptr && !rule.is_public;
 }
 
 auto rank_in_force(const route_rule& rule, const client_account* account) -> std::uint32_t {
--- a/src/teaselcross/gateway/quota_client.cpp
+++ b/src/teaselcross/gateway/quota_client.cpp
@@ -36,6 +36,7 @@
     m_share.timing.window = m_bounds.window;
     m_share.instance = settings.instance;
     m_share.start_time_ms = start_time_ms;
+    m_share.started = monotonic_now();
 }
 
 auto quota_client::apply_configuration() -> void {
--- a/src/teaselcross/gateway/quota_messages.cpp
+++ b/src/teaselcross/gateway/quota_messages.cpp
@@ -24,9 +24,10 @@
     for (const auto& each : query.accounts) {
         accounts.push_back({each.account, each.total, each.share, each.held, each.waiting, each.wanted});
     }
-    return json{{"from", query.instance}, {"start", query.start_time_ms},
-                {"number", query.number}, {"epoch", to_json(query.epoch)},
-                {"full", query.is_full},  {"accounts", std::move(accounts)}}
+    return json{{"from", query.instance},         {"start", query.start_time_ms},
+                {"number", query.number},         {"epoch", to_json(query.epoch)},
+                {"full", query.is_full},          {"age_us", query.age.count()},
+                {"accounts", std::move(accounts)}}
         .dump();
 }
 
@@ -51,6 +52,7 @@
                                  .number = message.at("number").get<std::uint64_t>(),
                                  .epoch = epoch_of(message),
                                  .is_full = message.at("full").get<bool>(),
+                                 .age = duration{message.at("age_us").get<duration::rep>()},
                                  .accounts = {}};
         for (const auto& each : message.at("accounts")) {
             query.accounts.push_back({.account = each.at(0).get<std::string>(),
--- a/src/teaselcross/gateway/quota_service.cpp
+++ b/src/teaselcross/gateway/quota_service.cpp
@@ -65,6 +65,7 @@
         set_totals(*m_ledger,
                    routes->accounts ? quota_totals_of(*routes->accounts, m_bounds) : quota_totals{});
     }
+    m_ledger->fleet = m_cluster.fleet_size();
     if (now < m_next_reclaim) {
         return;
     }
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -367,11 +367,7 @@
         }
     }
     const auto rate = request_rate(m_budgets[current.service], budget_options(), now);
-    const auto shared = shares_reports(candidates, now);
-    if (shared) {
-        context.jitter = shared_choice_jitter;
-    }
-    reduce_to_subset(open, m_own_hash, subset_size(rate, {}, shared), context, {});
+    reduce_to_subset(open, m_own_hash, subset_size(rate, {}), context, {});
     auto* best = choose_view(open, context, m_random(), now);
     if (best == nullptr) {
         if (candidates.empty()) {
--- a/src/teaselcross/http/exchange.cpp
+++ b/src/teaselcross/http/exchange.cpp
@@ -22,9 +22,44 @@
 /// A large body may take longer than the first byte is waited for.
 constexpr auto min_body_time = duration{std::chrono::seconds{2}};
 constexpr auto answer_header_limit = std::uint32_t{64 * 1024};
+/// Interim responses before a final one. Each restarts the header limit, so their number needs a bound.
+constexpr auto max_interim_answers = 8U;
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
+/// The status codes of final responses (RFC 9110, section 15).
+auto is_final_status(unsigned status) -> bool {
+    constexpr auto first = 200U;
+    constexpr auto last = 599U;
+    return status >= first && status <= last;
+}
+
+/// Whether another response follows. A switch of protocols is never asked for.
+auto is_interim_status(unsigned status) -> bool {
+    return http::to_status_class(status) == http::status_class::informational &&
+           status != static_cast<unsigned>(http::status::switching_protocols);
+}
+
+/// Reads the header of the next response, after any interim ones. Returns false if there is none, or its
+/// status is not one that a final response may have: what else it says cannot be relied on then.
+auto read_final_header(open_answer& answer, bool without_body) -> asio::awaitable<bool> {
+    for (auto interim = 0U; interim <= max_interim_answers; ++interim) {
+        answer.parser = std::make_unique<http::response_parser<http::buffer_body>>();
+        answer.parser->header_limit(answer_header_limit);
+        answer.parser->body_limit(boost::none);
+        answer.parser->skip(without_body);
+        const auto [error, read] = co_await http::async_read_header(
+            answer.client_connection->stream, answer.client_connection->buffer, *answer.parser, as_result);
+        if (error) {
+            co_return false;
+        }
+        if (!is_interim_status(answer.status())) {
+            co_return is_final_status(answer.status());
+        }
+    }
+    co_return false;
+}
+
 /// Reads bytes of the body to the end of @a to, at most @a size.
 auto append_part(open_answer& answer, std::string& to, std::size_t size, duration stall_timeout)
     -> asio::awaitable<bool> {
@@ -106,15 +141,9 @@
 auto receive_answer(open_answer& answer, bool without_body, exchange_limits limits) -> asio::awaitable<bool> {
     // Only the connection lasts from one answer to the next.
     answer = open_answer{.client_connection = std::move(answer.client_connection)};
-    answer.parser = std::make_unique<http::response_parser<http::buffer_body>>();
-    answer.parser->header_limit(answer_header_limit);
-    answer.parser->body_limit(boost::none);
-    answer.parser->skip(without_body);
-    auto& stream = answer.client_connection->stream;
-    stream.expires_after(limits.answer_timeout);
-    const auto [error, read] =
-        co_await http::async_read_header(stream, answer.client_connection->buffer, *answer.parser, as_result);
-    if (error) {
+    answer.client_connection->stream.expires_after(limits.answer_timeout);
+    const auto is_final = co_await read_final_header(answer, without_body);
+    if (!is_final) {
         co_return false;
     }
     answer.complete = answer.parser->is_done();
--- a/src/teaselcross/http/exchange.h
+++ b/src/teaselcross/http/exchange.h
@@ -56,8 +56,9 @@
 auto send_request(open_answer& answer, const http_request& request, duration timeout)
     -> boost::asio::awaitable<bool>;
 
-/// Reads the header of the next response on the connection, and its body if that is short. Discards what an
-/// earlier call read. Returns false if the response is missing or incomplete.
+/// Reads the header of the next response on the connection, and its body if that is short. Skips interim
+/// responses and discards what an earlier call read. Returns false if the response is missing or incomplete,
+/// or its status is not in 200 to 599.
 auto receive_answer(open_answer& answer, bool without_body, exchange_limits limits)
     -> boost::asio::awaitable<bool>;
 
--- a/tests/gateway/client_accounts_test.cpp
+++ b/tests/gateway/client_accounts_test.cpp
@@ -133,12 +133,17 @@
     EXPECT_EQ(send(own_key), 401U);
 }
 
-TEST_F(client_accounts_test, public_route_and_empty_list_pass_requests_without_both_fields) {
+TEST_F(client_accounts_test, public_route_passes_requests_without_both_fields) {
     EXPECT_EQ(status(own_key + forged_name, "open"), 200U);
     EXPECT_EQ(received_name(), "");
     EXPECT_EQ(status("", "open"), 200U);
+}
+
+/// Guards against routes that are open because their last account was removed.
+TEST_F(client_accounts_test, empty_list_of_accounts_opens_public_routes_only) {
     configure(std::vector<account_entry>{});
-    EXPECT_EQ(status(own_key + forged_name), 200U);
+    EXPECT_EQ(status(own_key), 401U);
+    EXPECT_EQ(status(own_key + forged_name, "open"), 200U);
     EXPECT_EQ(received_name(), "");
 }
 
--- a/tests/platform/accounts_test.cpp
+++ b/tests/platform/accounts_test.cpp
@@ -33,11 +33,11 @@
     EXPECT_FALSE(needs_account(*table, table->rules_by_host.at("a").front())) << "the rule is public";
 }
 
-TEST(platform_accounts, an_empty_list_needs_no_key_and_no_list_has_no_accounts) {
+TEST(platform_accounts, an_empty_list_needs_a_key_and_no_list_has_no_accounts) {
     const auto rule = route_rule{};
     const auto empty = parse_routes(config(json::array()));
     ASSERT_TRUE(empty && empty->accounts);
-    EXPECT_FALSE(needs_account(*empty, rule));
+    EXPECT_TRUE(needs_account(*empty, rule));
     auto document = json::parse(config(json::array()));
     document.erase("tenants");
     EXPECT_EQ(parse_routes(document.dump())->accounts, nullptr);
--- a/tests/quota/quota_ledger_test.cpp
+++ b/tests/quota/quota_ledger_test.cpp
@@ -51,6 +51,53 @@
     EXPECT_EQ(ledger.accounts["a"].pool, 100);
 }
 
+/// The instance of the earlier controller is lost for good and never states its share.
+TEST(quota_ledger, lost_instance_holds_no_more_than_it_may_have_been_given) {
+    auto ledger = make_ledger(false);
+    ledger.fleet = 64;
+    auto listed = std::set<std::string>{"lost"};
+    for (auto index = 0; index < 63; ++index) {
+        auto query = make_query(1, {.account = "a", .total = 100, .share = 1, .held = 1});
+        query.instance = "i" + std::to_string(index);
+        query.age = seconds{60};
+        listed.insert(query.instance);
+        on_query(ledger, query, true, start);
+    }
+    reclaim_units(ledger, {.instances = listed, .holds_lease = true}, start + seconds{1});
+    EXPECT_EQ(ledger.accounts["a"].pool, 100 - 63 - max_share(100, 32));
+}
+
+/// All processes are killed at once and some instances do not come back: what the earlier processes used
+/// leaves the window after 5 s, and clients are not refused until shares of the lost instances have expired.
+TEST(quota_ledger, units_of_restarted_instances_are_free_after_one_window) {
+    auto ledger = make_ledger(false);
+    ledger.fleet = 64;
+    set_totals(ledger, {{"a", 1000}});
+    auto listed = std::set<std::string>{"lost"};
+    for (auto index = 0; index < 63; ++index) {
+        auto query = make_query(1, {.account = "a", .total = 1000});
+        query.instance = "i" + std::to_string(index);
+        query.age = seconds{1};
+        listed.insert(query.instance);
+        on_query(ledger, query, true, start);
+    }
+    const auto takeover = quota_takeover{.earlier_ended = start, .instances = listed, .holds_lease = true};
+    reclaim_units(ledger, takeover, start + seconds{4});
+    EXPECT_EQ(ledger.accounts["a"].pool, 0);
+    reclaim_units(ledger, takeover, start + seconds{5});
+    EXPECT_EQ(ledger.accounts["a"].pool, 1000 - max_share(1000, 32));
+}
+
+/// What an instance may hold unknown to a successor is bounded by what it is given.
+TEST(quota_ledger, instance_gets_no_more_than_its_largest_share) {
+    auto ledger = make_ledger(true);
+    ledger.fleet = 64;
+    const auto greedy = quota_statement{.account = "a", .total = 100, .waiting = 100, .wanted = 100};
+    const auto reply = on_query(ledger, make_query(1, greedy), true, start);
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->accounts.front().added, max_share(100, 64));
+}
+
 TEST(quota_ledger, units_given_up_after_a_takeover_are_in_the_pool_at_once) {
     auto ledger = make_ledger(false);
     on_query(ledger, make_query(1, half), true, start);
--- a/tests/quota/quota_world.h
+++ b/tests/quota/quota_world.h
@@ -26,7 +26,7 @@
     };
 
     explicit quota_world(std::size_t count, std::int64_t units, std::uint64_t seed = 1)
-        : total{units}, random{seed} {
+        : total{units}, fleet{count}, random{seed} {
         begin_term(true, now);
         for (std::size_t index = 0; index < count; ++index) {
             processes.push_back(std::make_unique<process>());
@@ -40,6 +40,7 @@
         started.share = {};
         started.share.instance = "i" + std::to_string(index);
         started.share.start_time_ms = ++starts;
+        started.share.started = now;
         set_totals(started.share, {{"a", total}});
     }
 
@@ -47,6 +48,7 @@
         earlier_ended = earlier_ended_at;
         ledgers.push_back(std::make_unique<quota_ledger>(
             begin_ledger({}, {.era = 1, .number = ledgers.size() + 1}, is_first, now)));
+        ledgers.back()->fleet = fleet;
         set_totals(*ledgers.back(), {{"a", total}});
     }
 
@@ -144,6 +146,7 @@
     }
 
     std::int64_t total;
+    std::size_t fleet;
     std::mt19937_64 random;
     instant now{std::chrono::seconds{100}};
     instant earlier_ended{};
