--- a/src/libteaselcross/balance/range_balance.cpp
+++ b/src/libteaselcross/balance/range_balance.cpp
@@ -38,7 +38,6 @@
     /// Length of a plain count with the same random variation as the rates.
     double counted_seconds = 1;
     double correction = 1; ///< Of the rates of single keys.
-    bool only_beyond_nominal = false;
     std::vector<planned_range> ranges;
     std::map<target_id, planned_holder> holders;
 };
@@ -62,11 +61,8 @@
     return answers == state.responses.end() || answers->second.consecutive_failures == 0;
 }
 
-auto make_plan(const range_grantor& state, const key_rates& rates, const balance_options& options)
-    -> move_plan {
-    auto plan = move_plan{.counted_seconds = counted_seconds(rates),
-                          .correction = start_correction(rates),
-                          .only_beyond_nominal = options.only_beyond_nominal};
+auto make_plan(const range_grantor& state, const key_rates& rates) -> move_plan {
+    auto plan = move_plan{.counted_seconds = counted_seconds(rates), .correction = start_correction(rates)};
     for (const auto& [id, holder] : state.holders) {
         plan.holders[id] = {.known = &holder,
                             .can_receive = holder.eligible && !holder.leaving && is_responsive(state, id)};
@@ -91,19 +87,6 @@
     return holder.known == nullptr ? 1.0 : std::max(holder.known->capacity, min_capacity);
 }
 
-/// What the holder can serve, whatever its part of the load should be.
-auto nominal_capacity_of(const planned_holder& holder) -> double {
-    const auto has_nominal = holder.known != nullptr && holder.known->nominal_capacity > 0;
-    return has_nominal ? holder.known->nominal_capacity : capacity_of(holder);
-}
-
-/// The load above which keys should leave the holder.
-auto bearable_load(const move_plan& plan, const planned_holder& holder) -> double {
-    const auto capacity = capacity_of(holder);
-    return plan.only_beyond_nominal ? std::max(capacity, nominal_capacity_of(holder)) : capacity;
-}
-
-/// The load of @a holder relative to what it should have.
 auto relative_load(const planned_holder& holder) -> double {
     return holder.known == nullptr ? 0 : holder.load / capacity_of(holder);
 }
@@ -117,7 +100,7 @@
     const auto deviation = std::sqrt(std::max(holder.load, 0.0) / plan.counted_seconds);
     const auto significance =
         options.significance + options.start_significance * (1.0 - 1.0 / plan.correction);
-    return (holder.load - significance * deviation) / bearable_load(plan, holder);
+    return (holder.load - significance * deviation) / capacity_of(holder);
 }
 
 /// The holder with the lowest relative load that may receive keys; one without keys comes first.
@@ -142,8 +125,7 @@
         if (each.fixed) {
             continue;
         }
-        const auto load =
-            each.holder->known == nullptr ? 0 : each.holder->load / bearable_load(plan, *each.holder);
+        const auto load = relative_load(*each.holder);
         const auto better = best == nullptr || load > most || (load == most && each.load > best->load);
         if (better) {
             best = &each;
@@ -213,14 +195,13 @@
 /// holder can serve it, or has at least twice the capacity left for it.
 auto move_whole_range(move_plan& plan, planned_range& from, double gain) -> std::optional<planned_move> {
     planned_holder* best = nullptr;
-    const auto before =
-        from.holder->known == nullptr ? 0 : from.holder->load / nominal_capacity_of(*from.holder);
+    const auto before = relative_load(*from.holder);
     auto least = std::min(before - gain, std::max(1.0, before * useful_reduction));
     for (auto& [id, holder] : plan.holders) {
         if (!holder.can_receive || &holder == from.holder) {
             continue;
         }
-        const auto after = (holder.load + from.load) / nominal_capacity_of(holder);
+        const auto after = (holder.load + from.load) / capacity_of(holder);
         if (after < least) {
             best = &holder;
             least = after;
@@ -282,16 +263,12 @@
 }
 
 auto plan_moves(const range_grantor& state, const key_rates& rates) -> std::vector<planned_move> {
-    return plan_moves(state, rates, rates.options);
-}
-
-auto plan_moves(const range_grantor& state, const key_rates& rates, const balance_options& options)
-    -> std::vector<planned_move> {
+    const auto& options = rates.options;
     auto moves = std::vector<planned_move>{};
     if (rates.first_request == instant{} || rates.updated - rates.first_request < min_counted_time) {
         return moves; // Too little data to compare holders.
     }
-    auto plan = make_plan(state, rates, options);
+    auto plan = make_plan(state, rates);
     const auto max_ranges = options.max_ranges_per_holder * std::max<std::size_t>(state.holders.size(), 1);
     const auto max_moves = options.max_concurrent_moves + state.holders.size() / options.holders_per_move;
     while (moves.size() < max_moves && plan.ranges.size() < max_ranges) {
@@ -307,18 +284,14 @@
         if (!empty && (high < options.overload_threshold || high - low < options.min_gain)) {
             break;
         }
-        const auto weight_from = bearable_load(plan, source);
+        const auto weight_from = capacity_of(source);
         const auto weight_to = capacity_of(*to);
         const auto even = (source.load * weight_to - to->load * weight_from) / (weight_from + weight_to);
         // Limited by the receiver's capacity: a moving range cannot be split again until the move ends.
         const auto spare_capacity = options.overload_threshold * weight_to - to->load;
         const auto wanted = std::min(even, std::max(spare_capacity, even / 4));
-        auto taken = best_cut(*from, rates, plan.correction, wanted);
+        const auto taken = best_cut(*from, rates, plan.correction, wanted);
         const auto min_load = options.min_gain * weight_to / 8; // A smaller range is not worth its renewals.
-        if (taken.load < min_load && options.only_beyond_nominal) {
-            // A hot key at the end of the range exceeds the receiver's spare capacity.
-            taken = best_cut(*from, rates, plan.correction, even);
-        }
         if (taken.keys > 0 && (empty || taken.load >= min_load)) {
             moves.push_back(apply_cut(plan, *from, taken, *to));
         } else if (const auto whole = move_whole_range(plan, *from, options.min_gain)) {
--- a/src/libteaselcross/balance/range_balance.h
+++ b/src/libteaselcross/balance/range_balance.h
@@ -21,8 +21,6 @@
     /// Added to the significance when counting begins; fades while the history grows. Each move takes keys
     /// out of service for a moment, and a short history shows many differences that are none.
     double start_significance = 1.5;
-    /// Keys leave a holder only for a load beyond its part of the load and beyond what it can serve.
-    bool only_beyond_nominal = false;
     double min_gain = 0.2;                ///< Minimum difference of relative loads for a move.
     std::size_t max_concurrent_moves = 6; ///< Keys are briefly unavailable while they move.
     std::size_t holders_per_move = 8;     ///< One more concurrent move per this many holders.
@@ -31,10 +29,8 @@
 };
 
 /// For hotspots: reacts within a second, but only to loads far beyond random variation.
-constexpr auto hotspot_options = balance_options{.time_constant = std::chrono::milliseconds{900},
-                                                 .overload_threshold = 0.6,
-                                                 .significance = 2.5,
-                                                 .only_beyond_nominal = true};
+constexpr auto hotspot_options = balance_options{
+    .time_constant = std::chrono::milliseconds{900}, .overload_threshold = 0.6, .significance = 2.5};
 /// For holders with lasting load above their capacity: reacts slowly, but to small differences.
 constexpr auto sustained_load_options = balance_options{.time_constant = std::chrono::milliseconds{6000},
                                                         .overload_threshold = 0.45,
@@ -67,11 +63,7 @@
     target_incarnation to;
 };
 
-/// Plans the moves to start now by @a options. They overlap neither each other nor a range that is already
-/// moving.
-auto plan_moves(const range_grantor& state, const key_rates& rates, const balance_options& options)
-    -> std::vector<planned_move>;
-/// The same by the options of @a rates.
+/// Plans the moves to start now. They overlap neither each other nor a range that is already moving.
 auto plan_moves(const range_grantor& state, const key_rates& rates) -> std::vector<planned_move>;
 
 } // namespace teaselcross
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -48,10 +48,9 @@
 /// A target that may hold keys.
 struct key_holder {
     target_incarnation incarnation;
-    bool eligible = false;       ///< May be assigned more keys.
-    bool leaving = false;        ///< Its ranges have to be moved away.
-    double capacity = 1;         ///< Its part of the load for the placement of keys, in requests per second.
-    double nominal_capacity = 0; ///< What it can serve, in requests per second; 0: its capacity.
+    bool eligible = false; ///< May be assigned more keys.
+    bool leaving = false;  ///< Its ranges have to be moved away.
+    double capacity = 1;   ///< In requests per second.
 };
 
 /// The controller's state for one range, in addition to the stored record.
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -4,7 +4,6 @@
 // records the owners in the store.
 
 #include "balance/range_balance.h"
-#include "balance/speed_balance.h"
 #include "gateway/cluster_state.h"
 #include "gateway/holder_calls.h"
 #include "gateway/overdue_connections.h"
@@ -132,8 +131,6 @@
         /// Two time spans: a short one for hot keys, and a long one for holders that are slower than others.
         std::array<key_rates, 2> rates{key_rates{.options = hotspot_options},
                                        key_rates{.options = sustained_load_options}};
-        service_speeds speeds;
-        speed_balance placement;
         instant next_balance{};
         instant next_write{};
         instant last_tick{};
@@ -142,7 +139,7 @@
         std::size_t last_holder_count = 0; ///< Used before the first assignment only.
         instant holder_count_since{};
     };
-    struct measured_time {
+    struct target_speed {
         double service_us = 0;
     };
 
@@ -184,9 +181,6 @@
         -> boost::asio::awaitable<void>;
     auto refresh_holders(const service_id& service, service_control& state, instant now) -> void;
     auto balance(const service_id& service, service_control& state, instant now) -> void;
-    auto refresh_capacities(const service_id& service, service_control& state, instant now) -> void;
-    auto is_speed_known(const service_control& state, instant now) const -> bool;
-    auto apply_service_times(const nlohmann::json& report, instant now) -> void;
     auto execute_order(service_id service, holder_command order, std::uint64_t term)
         -> boost::asio::awaitable<void>;
     /// Keeps the connection of a grant that is overdue, and gives up the oldest one if there are too many.
@@ -241,7 +235,7 @@
     bool m_renewing = false;
     std::uint64_t m_write_count = 0;
     std::map<service_id, service_control> m_services;
-    std::map<target_id, measured_time> m_target_speeds;
+    std::map<target_id, target_speed> m_target_speeds;
     confirmation m_last_confirmation;
     std::function<copy_states()> m_copy_source;
     std::function<void(const store_object&, instant)> m_on_written;
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -5,7 +5,6 @@
 #include "gateway/holder_calls.h"
 #include "gateway/leaving_messages.h"
 #include "gateway/order_log.h"
-#include "gateway/service_times.h"
 #include "logging/log.h"
 #include "ownership/holder_probe.h"
 #include "platform/store.h"
@@ -210,15 +209,10 @@
                                     ? speed->second.service_us
                                     : default_service_us;
         constexpr auto microseconds = 1e6;
-        const auto planned = state.placement.capacities.find(id);
-        const auto capacity =
-            planned == state.placement.capacities.end() ? holder_capacity{} : planned->second;
         holders[id] = {.incarnation = {.id = id, .start_time_ms = listed.start_time_ms},
                        .eligible = !leaving && !is_cold(known->view, now),
                        .leaving = leaving,
-                       .capacity =
-                           capacity.planned > 0 ? capacity.planned : listed.slots * microseconds / service_us,
-                       .nominal_capacity = capacity.nominal};
+                       .capacity = listed.slots * microseconds / service_us};
     }
     set_holders(state.grantor, std::move(holders));
 }
@@ -232,23 +226,14 @@
     if (now < m_earliest_move) {
         return;
     }
-    refresh_capacities(service, state, now);
     for (const auto& rates : state.rates) {
-        const auto is_lasting = &rates == &state.rates.back();
-        if (is_lasting && !is_speed_known(state, now)) {
-            continue;
-        }
-        for (const auto& move : plan_moves(grantor, rates, state.placement)) {
+        for (const auto& move : plan_moves(grantor, rates)) {
             log::info("range_moves", {{"service", service},
                                       {"first", move.first},
                                       {"last", move.last},
                                       {"to", move.to.id},
                                       {"rates_over_ms", rates.options.time_constant.count() / 1000}});
             m_measured.count(counter::ranges_moved);
-            if (!is_lasting) {
-                // A hot range is cut in steps, each by what the last one has left.
-                state.next_balance = now + m_options.balance_interval / 2;
-            }
             start_move(grantor, move.first, move.last, move.to);
         }
     }
@@ -361,8 +346,7 @@
 
 auto controller::make_report() -> json {
     auto keys = json::object();
-    const auto sample = m_router.take_sample();
-    for (const auto& [service, counts] : sample.key_requests) {
+    for (const auto& [service, counts] : m_router.take_sample().key_requests) {
         auto list = json::array();
         for (const auto& [key, count] : counts) {
             list.push_back({key, count});
@@ -378,7 +362,6 @@
     return {{"from", m_settings.instance},
             {"keys", std::move(keys)},
             {"speeds", std::move(speeds)},
-            {"service_times", service_times_to_json(sample.service_times)},
             {"leaving", to_json(m_cluster.leaving_notices())}};
 }
 
@@ -393,7 +376,6 @@
         }
     }
     apply_leaving(report, now);
-    apply_service_times(report, now);
     for (const auto& [target, service_us] : report.at("speeds").items()) {
         auto& speed = m_target_speeds[target_id{target}].service_us;
         const auto sample = service_us.get<double>();
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -106,12 +106,6 @@
     if (result == send_result::shed || result == send_result::withdrawn || end == attempt_result::not_sent) {
         m_shortage.record_rejection(current.service, current.value(), now);
     }
-    if (result == send_result::answered && current.policy.keyed) {
-        auto& times = m_sample.service_times[view.listed.id];
-        if (times.size() < max_service_times) {
-            times.push_back(make_sample(view, now - started, outcome.fields.load));
-        }
-    }
     const auto waited_for = end == attempt_result::answered || end == attempt_result::timed_out;
     if (waited_for && !current.was_refused_before) {
         record_answer(m_lateness[current.service], now > current.objective);
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -5,7 +5,6 @@
 #include "accounts/account_counts.h"
 #include "admission/gate.h"
 #include "admission/retry_detection.h"
-#include "balance/target_speeds.h"
 #include "delivery/retry_budget.h"
 #include "gateway/cluster_state.h"
 #include "gateway/load_sharing.h"
@@ -21,15 +20,9 @@
 
 namespace teaselcross {
 
-/// Service times of one target that are kept until the next report to the controller; more add little to what
-/// is known of its speed.
-constexpr auto max_service_times = std::size_t{8};
-
-/// Requests by key, and service times, since the last report to the controller.
+/// Requests by key since the last report to the controller.
 struct traffic_sample {
     std::map<service_id, std::unordered_map<shard_key, std::uint32_t>> key_requests;
-    /// Of targets of services with keys; at most max_service_times for each target.
-    std::map<target_id, std::vector<service_time_sample>> service_times;
 };
 
 /// Why a request ends without a target's answer.
