--- a/src/libteaselcross/admission/target_subset.cpp
+++ b/src/libteaselcross/admission/target_subset.cpp
@@ -26,16 +26,9 @@
 
 } // namespace
 
-auto shares_reports(const std::vector<target_view*>& targets, instant now) -> bool {
-    const auto heard = std::count_if(targets.begin(), targets.end(),
-                                     [now](const auto* view) { return has_shared_reports(*view, now); });
-    return heard > 0 && 2 * static_cast<std::size_t>(heard) >= targets.size();
-}
-
-auto subset_size(double rate, const subset_options& options, bool shared) -> std::size_t {
+auto subset_size(double rate, const subset_options& options) -> std::size_t {
     const auto wanted = std::ceil(rate * std::chrono::duration<double>(options.answer_interval).count());
-    const auto least = shared ? options.min_shared_targets : options.min_targets;
-    return std::max(least, static_cast<std::size_t>(std::max(wanted, 0.0)));
+    return std::max(options.min_targets, static_cast<std::size_t>(std::max(wanted, 0.0)));
 }
 
 auto reduce_to_subset(std::vector<target_view*>& targets, std::uint64_t instance, std::size_t size,
--- a/src/libteaselcross/admission/target_subset.h
+++ b/src/libteaselcross/admission/target_subset.h
@@ -17,26 +17,16 @@
 
 namespace teaselcross {
 
-/// choice_context::jitter where instances share load reports, so that more of them know the same.
-constexpr auto shared_choice_jitter = 0.25;
-
 struct subset_options {
     /// The interval between answers from each target of the subset: about as long as its load stays the same.
     duration answer_interval = std::chrono::milliseconds{600};
     std::size_t min_targets = 4; ///< Enough to avoid one slow and one failing target.
-    /// The same where other instances share what they hear: more choice, and still few new connections.
-    std::size_t min_shared_targets = 12;
     /// If the distance cost is at least this, up to as many targets of the own data centre are added.
     duration min_distance_cost = std::chrono::milliseconds{50};
 };
 
-/// The subset size for an instance that sends @a rate requests per second to a service. @a shared: it gets
-/// reports of other instances about most targets of the service.
-auto subset_size(double rate, const subset_options& options, bool shared = false) -> std::size_t;
-
-/// Whether reports of other instances arrive about at least half of @a targets. Precondition: no null
-/// pointers.
-auto shares_reports(const std::vector<target_view*>& targets, instant now) -> bool;
+/// The subset size for an instance that sends @a rate requests per second to a service.
+auto subset_size(double rate, const subset_options& options) -> std::size_t;
 
 /// Reduces @a targets to the subset of the instance with the hash @a instance. Targets are ranked by
 /// rendezvous hashing, so the subset stays the same between calls. Precondition: no null pointers. Not thread
--- a/src/libteaselcross/admission/target_view.cpp
+++ b/src/libteaselcross/admission/target_view.cpp
@@ -54,8 +54,7 @@
 }
 
 auto expected_slowness(const target_view& view, const view_options& options, instant now) -> double {
-    constexpr auto usual = 1.0;
-    return usual + (view.slowness - usual) * freshness(view, options, now);
+    return 1.0 + (view.slowness - 1.0) * freshness(view, options, now);
 }
 
 auto expected_service(const target_view& view, const view_options& options, instant now) -> duration {
@@ -166,8 +165,6 @@
     view.usual_other_requests +=
         (view.other_requests - view.usual_other_requests) * view_options{}.report_smoothing;
     view.slowness = std::max(slowness, 0.1);
-    constexpr auto slowness_smoothing = 0.01; // The mean of a value that changes every few reports.
-    view.usual_slowness += (view.slowness - view.usual_slowness) * slowness_smoothing;
     view.reported_at = reported_at;
 }
 
--- a/src/libteaselcross/admission/target_view.h
+++ b/src/libteaselcross/admission/target_view.h
@@ -53,7 +53,6 @@
     std::uint32_t other_requests = 0; ///< Requests of other instances at the last report.
     double usual_other_requests = 0;  ///< Smoothed over reports; assumed once a report is stale.
     double slowness = 1;              ///< As last reported.
-    double usual_slowness = 1;        ///< Smoothed over reports.
     instant reported_at{};
     std::uint32_t silent_sends = 0; ///< Consecutive sends without any answer.
     instant avoid_until{};          ///< End of the backoff; choose_view() skips the target before.
@@ -106,8 +105,7 @@
 /// Estimates the time until a request sent at @a now is answered.
 auto expected_finish(const target_view& view, const view_options& options, instant now) -> duration;
 
-/// Estimates how much longer than usual the target takes now: the last report, which decays towards the usual
-/// slowness. Without reports of other instances it decays towards 1, since few reports give no good mean.
+/// Estimates how much longer than usual the target takes now: the last report, which decays towards 1.
 auto expected_slowness(const target_view& view, const view_options& options, instant now) -> double;
 
 /// Whether reports of other instances about the target arrive.
--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -66,7 +66,6 @@
     open_answer* active_exchange = nullptr; ///< The exchange in progress, aborted when the caller leaves.
     bool caller_left = false;
     duration retry_after{};
-    bool retry_not_before = false; ///< A retry before retry_after is certain to be refused.
     target_id last_target;
     /// Revision of the key map that led to a target without the key.
     std::optional<store_revision> stale_revision;
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -417,8 +417,7 @@
         // queue.
         const auto spread = duration{static_cast<duration::rep>(
             m_random() % static_cast<std::uint64_t>(std::max(current.retry_after, min_retry_after).count()))};
-        retry_after = std::max(current.retry_after, min_retry_after);
-        *retry_after = current.retry_not_before ? *retry_after + spread / 4 : *retry_after / 2 + spread;
+        retry_after = std::max(current.retry_after, min_retry_after) / 2 + spread;
         break;
     }
     m_shortage.count_refusal(current.rank);
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -11,7 +11,6 @@
 #include "gateway/shortage_control.h"
 #include "http/server.h"
 #include "metrics/metrics.h"
-#include "ownership/lost_owners.h"
 
 #include <functional>
 #include <random>
@@ -110,8 +109,6 @@
     auto take_unit(request_context& current) -> boost::asio::awaitable<std::optional<refusal>>;
     auto choose(request_context& current) -> target_choice;
     auto choose_owner(request_context& current) -> target_choice;
-    static auto transfer_wait_end(const request_context& current, const target_view* next, instant now)
-        -> instant;
     auto choose_any(request_context& current) -> target_choice;
     auto check_send(request_context& current, target_view& view, instant now) -> std::optional<refusal>;
     auto record_shortage(const request_context& current, const route_outcome& outcome) -> void;
@@ -150,7 +147,6 @@
     std::map<std::string, double> m_mean_answer_bytes;
     std::map<std::string, patience_window> m_patience; ///< By rule.
     std::map<service_id, lateness_estimate> m_lateness;
-    lost_owners m_lost_owners;
     shortage_control m_shortage;
     traffic_sample m_sample;
     account_counts m_refused_by_account;
