--- a/src/libteaselcross/routing/route_table.h
+++ b/src/libteaselcross/routing/route_table.h
@@ -68,9 +68,9 @@
     std::vector<std::string> remarks; ///< Parts of the accounts' configuration that have no effect.
 };
 
-/// Whether a request on @a rule has to carry the key of a client account. With an empty list of accounts there
-/// is no such key: removing the last account must not open the routes. Thread safe as long as the table is not
-/// modified.
+/// Whether a request on @a rule has to carry the key of a client account. With an empty list of accounts
+/// there is no such key: removing the last account must not open the routes. Thread safe as long as the table
+/// is not modified.
 auto needs_account(const route_table& table, const route_rule& rule) -> bool;
 
 /// The priority of a request on @a rule: that of its client account, or of the route if @a account has none
--- a/src/teaselcross/gateway/cluster_state.cpp
+++ b/src/teaselcross/gateway/cluster_state.cpp
@@ -422,4 +422,12 @@
     return {.rate = (limit - sharing) / sharing, .burst = 1};
 }
 
+auto can_route(const cluster_state& cluster) -> bool {
+    const auto routes = cluster.routes();
+    return routes->version != 0 &&
+           std::all_of(routes->services.begin(), routes->services.end(), [&cluster](const auto& each) {
+               return !each.second.keyed || cluster.keys(each.first) != nullptr;
+           });
+}
+
 } // namespace teaselcross
--- a/src/teaselcross/gateway/cluster_state.h
+++ b/src/teaselcross/gateway/cluster_state.h
@@ -178,4 +178,7 @@
     change_signal m_change;
 };
 
+/// Whether a configuration is known, and the owners of the keys of each keyed service.
+auto can_route(const cluster_state& cluster) -> bool;
+
 } // namespace teaselcross
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -1,8 +1,8 @@
 #include "gateway/gateway.h"
 
 #include "gateway/cluster_state_feed.h"
-#include "gateway/copy_gauges.h"
 #include "gateway/graceful_stop.h"
+#include "gateway/instance_gauges.h"
 #include "gateway/peers.h"
 #include "gateway/quota_access.h"
 #include "gateway/settings_file.h"
@@ -85,7 +85,6 @@
     auto reads_store_directly() const -> bool;
     auto add_follower(follower_options options, follower_events events) -> void;
     auto copies() const -> copy_states;
-    auto gauges() -> std::vector<gauge>;
     auto start_following() -> asio::awaitable<void>;
     auto matches_controller(const store_follower& kind) const -> bool;
     auto choose_refresh_source(const store_follower& kind, instant now) const -> refresh_source;
@@ -191,7 +190,15 @@
     m_router.set_quotas(m_quotas);
     spawn("quotas", [this] { return m_quotas.run(); });
     m_controller.set_copy_source([this] { return copies(); });
-    m_measured.set_gauge_source([this] { return gauges(); });
+    m_measured.set_gauge_source([this] {
+        return instance_gauges(copies(), {.answer_memory = m_answer_memory,
+                                          .request_memory = m_request_memory,
+                                          .router = m_router,
+                                          .own_controller = m_controller,
+                                          .quotas = m_quotas,
+                                          .quota_ledger = m_quota_service,
+                                          .sharing = m_sharing});
+    });
     create_followers();
     spawn("store_probe", [this] {
         return probe_store(m_store, platform::kinds::routes_object,
@@ -204,16 +211,7 @@
 }
 
 auto gateway::is_ready() const -> bool {
-    const auto routes = m_cluster.routes();
-    if (m_stopping || routes->version == 0) {
-        return false;
-    }
-    for (const auto& [service, policy] : routes->services) {
-        if (policy.keyed && m_cluster.keys(service) == nullptr) {
-            return false;
-        }
-    }
-    return true;
+    return !m_stopping && can_route(m_cluster);
 }
 
 auto gateway::answer_readiness(responder& link, http_request request) -> asio::awaitable<bool> {
@@ -262,30 +260,6 @@
     return states;
 }
 
-auto gateway::gauges() -> std::vector<gauge> {
-    auto values = copy_gauges(copies());
-    const auto add = [&values](const char* name, const char* kind, std::size_t value) {
-        values.push_back({.name = name, .kind = kind, .value = static_cast<double>(value)});
-    };
-    add("body_memory_bytes", "answers", m_answer_memory.in_use());
-    add("body_memory_bytes", "requests", m_request_memory.in_use());
-    const auto refused = select_largest(m_router.refused_by_account());
-    for (const auto& [account, count] : refused.largest) {
-        add("account_refusals", account.c_str(), count);
-    }
-    if (refused.rest > 0) {
-        add("account_refusals_rest", "accounts", refused.rest);
-    }
-    add("overdue_grant_connections", "in_use", m_controller.overdue().size());
-    add("overdue_grant_connections", "limit", m_controller.overdue().limit());
-    m_router.shortage().append_gauges(values);
-    for (auto& quota_gauges : {m_quotas.gauges(), m_quota_service.gauges()}) {
-        values.insert(values.end(), quota_gauges.begin(), quota_gauges.end());
-    }
-    m_sharing.add_gauges(values);
-    return values;
-}
-
 auto gateway::matches_controller(const store_follower& kind) const -> bool {
     const auto& copies = m_controller.last_confirmation().copies;
     const auto found = copies.find(kind.kind());
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -37,7 +37,7 @@
 /// then sheds at random.
 constexpr auto max_sends_to_owner = 4U;
 /// How long a request waits for units of its account from the controller.
-constexpr auto max_unit_wait = duration{std::chrono::milliseconds{100}};
+constexpr auto max_unit_wait = duration{std::chrono::milliseconds{300}};
 
 /// Whether a target's own report shows that it could have accepted a request.
 auto reports_free_slot(const std::optional<load_report>& load) -> bool {
