--- a/tests/gateway/target_status_test.cpp
+++ b/tests/gateway/target_status_test.cpp
@@ -50,12 +50,34 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(statuses, target_status_test,
-                         testing::Values("000 Odd", "099 Odd", "101 Odd", "199 Odd", "600 Odd", "999 Odd",
-                                         "2000 Odd", "20 Odd", "Odd"));
+                         testing::Values("000 Odd", "099 Odd", "101 Odd", "600 Odd", "999 Odd", "2000 Odd",
+                                         "20 Odd", "Odd"));
 
 /// An interim response is skipped, and the final one is the answer.
 class interim_status_test : public testing::Test, protected router_world {};
 
+/// An interim response alone is no answer: neither when the target then closes, nor when nothing follows.
+TEST_F(interim_status_test, interim_answer_without_a_final_one_is_not_passed_on) {
+    const auto interim = [](const auto& request, bool closes) {
+        return scripted_answer{.bytes = "HTTP/1.1 199 Odd\r\n" +
+                                        (names::attempt_id + (": " + request.attempt_id)) + "\r\n" +
+                                        names::not_executed + ": 1\r\n\r\n",
+                               .closes = closes};
+    };
+    auto closing = scripted_target{m_context, [&](const auto& request) { return interim(request, true); }};
+    list("closing", closing);
+    const auto broken_off = ask("once", "1");
+    EXPECT_EQ(broken_off.result_int(), 502U);
+    EXPECT_EQ(closing.requests(), 1U);
+    m_cluster.remove_target(target_id{"closing"}, std::nullopt, monotonic_now());
+    auto silent = scripted_target{m_context, [&](const auto& request) { return interim(request, false); }};
+    list("silent", silent);
+    const auto timed_out = ask("once", "2");
+    EXPECT_EQ(timed_out.result_int(), 504U);
+    EXPECT_TRUE(timed_out.body().empty());
+    EXPECT_EQ(silent.requests(), 1U);
+}
+
 TEST_F(interim_status_test, final_answer_after_an_interim_one_is_passed_on) {
     auto target = scripted_target{m_context, [](const auto& request) {
                                       return scripted_answer{"HTTP/1.1 103 Early Hints\r\n\r\n" +
