Free unstated units of a quota early only when the earlier controller has ended

A process that replaces one which has stated its share may get units of the earlier controller while that may still act, and the successor takes the instance for known.

Change: both rules hold only if the earlier controller had ended before the term began.

--- a/src/libteaselcross/quota/quota_ledger.cpp
+++ b/src/libteaselcross/quota/quota_ledger.cpp
@@ -138,14 +138,17 @@
 /// Settles the ledger once no units can be out that no instance has stated.
 auto settle_when_known(quota_ledger& state, const quota_takeover& takeover, instant now) -> void {
     const auto lifetime = state.timing.validity + state.timing.window + state.timing.margin;
-    const auto have_all_stated =
-        takeover.instances && std::all_of(takeover.instances->begin(), takeover.instances->end(),
-                                          [&](const auto& name) { return state.holders.contains(name); });
+    // A process that replaces one which has stated its share may get units of an earlier controller that has
+    // not ended.
+    const auto has_earlier_ended = takeover.earlier_ended <= state.began;
+    const auto have_all_stated = has_earlier_ended && takeover.instances &&
+                                 std::all_of(takeover.instances->begin(), takeover.instances->end(),
+                                             [&](const auto& name) { return state.holders.contains(name); });
     state.all_stated_at =
         have_all_stated ? std::optional{state.all_stated_at.value_or(now)} : std::optional<instant>{};
     const auto have_all_expired = now >= std::max(state.began, takeover.earlier_ended) + lifetime;
     if (!have_all_expired && !(have_all_stated && now >= *state.all_stated_at + state.timing.window)) {
-        if (takeover.instances) {
+        if (takeover.instances && has_earlier_ended) {
             free_unheld_units(state, *takeover.instances, now);
         }
         return;
--- a/src/libteaselcross/quota/quota_ledger.h
+++ b/src/libteaselcross/quota/quota_ledger.h
@@ -66,8 +66,8 @@
 /// Returns to the pool what is no longer out at @a now: the shares of processes that are silent or were
 /// replaced, and after a takeover the units that nobody stated. Before those are known to be free, the pool
 /// has what is left if each instance of which nothing is known holds the most that it may have been given by
-/// a controller that knew half as many instances. Precondition: the fleet at most doubles within the lifetime
-/// of a share.
+/// a controller that knew half as many instances, unless an earlier controller may still act. Precondition:
+/// the fleet at most doubles within the lifetime of a share.
 auto reclaim_units(quota_ledger& state, const quota_takeover& takeover, instant now) -> void;
 
 /// Units of @a account that are out at instances, as recorded.
--- a/tests/quota/quota_ledger_test.cpp
+++ b/tests/quota/quota_ledger_test.cpp
@@ -88,6 +88,18 @@
     EXPECT_EQ(ledger.accounts["a"].pool, 1000 - max_share(1000, 32));
 }
 
+/// An instance that restarted after it stated its share may have got units of the earlier controller.
+TEST(quota_ledger, no_units_are_free_early_while_an_earlier_controller_may_act) {
+    auto ledger = make_ledger(false);
+    auto query = make_query(1, {.account = "a", .total = 100, .share = 1, .held = 1});
+    query.age = seconds{60};
+    on_query(ledger, query, true, start);
+    const auto takeover = quota_takeover{
+        .earlier_ended = start + seconds{2}, .instances = std::set<std::string>{"i"}, .holds_lease = true};
+    reclaim_units(ledger, takeover, start + seconds{3});
+    EXPECT_EQ(ledger.accounts["a"].pool, 0);
+}
+
 /// What an instance may hold unknown to a successor is bounded by what it is given.
 TEST(quota_ledger, instance_gets_no_more_than_its_largest_share) {
     auto ledger = make_ledger(true);
