Encode names of stored objects in calls to the store

After a restart of all processes almost no request was served.

Cause: names went into paths and queries as they are. After a page that ends with such a name, the call for the next one was malformed, and the store refused it; with & and + it named an earlier object, and the same page came without end. An instance without a list of targets serves nothing.

Followers and the list of instances read pages with one function, which has a bound, a log event and a reason for a list that cannot be continued; a page without readable names no longer counts as the end of the list, behind which everything was removed. The same class elsewhere: names that no header field can carry, and addresses with control characters, name no target; control characters no longer reach log lines.

The soak's store refuses malformed calls, decodes names and hands out small pages with odd entries of each kind, and each soak ends with a restart of all instances. In store_follower_test the expectation of refresh() is the same result under its new type.

--- a/src/libteaselcross/accounts/client_accounts.cpp
+++ b/src/libteaselcross/accounts/client_accounts.cpp
@@ -1,5 +1,7 @@
 #include "accounts/client_accounts.h"
 
+#include "core/field_text.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -15,18 +17,6 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
-/// Whether @a name can be sent in a header field as it is: control characters could end the field, and spaces
-/// around it are trimmed.
-auto fits_header_field(std::string_view name) -> bool {
-    const auto is_control = [](char character) {
-        constexpr auto first_printable = 0x20;
-        constexpr auto delete_character = 0x7f;
-        const auto code = static_cast<unsigned char>(character);
-        return code < first_printable || code == delete_character;
-    };
-    return std::none_of(name.begin(), name.end(), is_control) && name.front() != ' ' && name.back() != ' ';
-}
-
 auto is_limit(double value) -> bool {
     return std::isfinite(value) && value >= 0;
 }
@@ -36,7 +26,7 @@
     if (account.name.empty()) {
         return account_fault{.part = account_part::name, .message = "is empty"};
     }
-    if (!fits_header_field(account.name)) {
+    if (!is_field_value(account.name)) {
         return account_fault{.part = account_part::name,
                              .message = "contains control characters, or spaces at an end"};
     }
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -320,7 +320,8 @@
         refreshed = co_await kind.compare_with(*peer);
     }
     if (!refreshed) {
-        refreshed = co_await kind.refresh();
+        const auto result = co_await kind.refresh();
+        refreshed = result != refresh_result::failed;
     }
     log::debug("knowledge_refreshed",
                {{"kind", kind.kind()}, {"asked_peer", peer.has_value()}, {"learnt", refreshed}});
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peers.h"
 
+#include "gateway/object_list.h"
 #include "logging/log.h"
 #include "platform/messages.h"
 #include "platform/store.h"
@@ -43,23 +44,17 @@
 
 /// Lists all instances. Returns false if the store could not be read.
 auto list_instances(cluster_state& cluster, store_access& store, bool stale) -> asio::awaitable<bool> {
+    const auto list = co_await read_object_list(store, platform::kinds::instances, stale);
+    if (list.pages.empty()) {
+        co_return false;
+    }
     auto records = std::vector<instance_record>{};
-    auto call =
-        store_call{.kind = store_call_kind::list, .key = platform::kinds::instances, .allow_stale = stale};
-    while (true) {
-        const auto reply = co_await store.read(call);
-        if (reply.status != store_status::ok) {
-            co_return false;
-        }
-        for (const auto& object : reply.objects) {
+    for (const auto& page : list.pages) {
+        for (const auto& object : page.objects) {
             if (auto record = parse_instance_record(object)) {
                 records.push_back(std::move(*record));
             }
         }
-        if (!reply.more || reply.objects.empty()) {
-            break;
-        }
-        call.after_key = reply.objects.back().key;
     }
     log::info("instances_listed", {{"count", records.size()}, {"stale", stale}});
     cluster.note_era(store.era(), monotonic_now()); // The list may lack those that a restore has lost.
--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -1,5 +1,6 @@
 #include "gateway/store_follower.h"
 
+#include "gateway/object_list.h"
 #include "logging/log.h"
 #include "runtime/clock.h"
 
@@ -17,7 +18,8 @@
 /// keep-alive.
 constexpr auto watch_timeout = duration{std::chrono::milliseconds{9000}};
 constexpr auto retry_delay = duration{std::chrono::milliseconds{120}};
-/// Limit of the delay between watches when lists bring no revision that can be watched.
+/// Limit of the delay between watches when lists bring no revision that can be watched, and the delay between
+/// lists that cannot be read to their end.
 constexpr auto max_retry_delay = duration{std::chrono::milliseconds{1000}};
 /// How long a relay holds a request when there are no changes, and the allowance for the round trip.
 constexpr auto relay_poll_timeout = duration{std::chrono::milliseconds{4000}};
@@ -63,30 +65,6 @@
                                                               (std::uint64_t{std::random_device{}()} << 32U) |
                                                               1U} {}
 
-/// Reads all pages of the list. Returns none when the store could not be read, or began a new era meanwhile.
-auto store_follower::list_all() -> boost::asio::awaitable<std::vector<object_page>> {
-    auto pages = std::vector<object_page>{};
-    while (true) {
-        const auto after = pages.empty() ? std::string{} : pages.back().last_key;
-        auto call = store_call{.kind = store_call_kind::list, .key = m_options.kind, .after_key = after};
-        auto reply = co_await m_store.read(std::move(call));
-        const auto is_other_era = !pages.empty() && reply.era != pages.front().revision.era;
-        if (reply.status != store_status::ok || is_other_era) {
-            co_return std::vector<object_page>{};
-        }
-        const auto has_more = reply.more && !reply.objects.empty();
-        const auto last = has_more ? reply.objects.back().key : std::string{};
-        std::erase_if(reply.objects, [](const auto& object) { return object.removed; });
-        pages.push_back({.revision = reply.version,
-                         .after_key = after,
-                         .last_key = last,
-                         .objects = std::move(reply.objects)});
-        if (!has_more) {
-            co_return pages;
-        }
-    }
-}
-
 auto store_follower::is_live(const std::string& key) const -> bool {
     const auto found = m_replica.entries.find(key);
     return found != m_replica.entries.end() && !found->second.object.removed;
@@ -145,6 +123,17 @@
     m_listed = true;
 }
 
+/// Applies what a list contains that could not be read to its end. It says nothing about other objects, so
+/// the copy is neither complete nor confirmed by it.
+auto store_follower::apply_part_of_list(const std::vector<object_page>& pages) -> void {
+    for (const auto& page : pages) {
+        const auto origin = change_origin{.source = change_source::list, .revision = page.revision};
+        for (const auto& object : page.objects) {
+            apply_object(object, origin);
+        }
+    }
+}
+
 /// Records what an answer says about the copy as a whole, and wakes the followers of this instance if there
 /// were changes.
 auto store_follower::finish_answer(const change_origin& origin) -> void {
@@ -185,19 +174,24 @@
     return {.digest = m_replica.digest, .complete_to = m_replica.complete_to, .age = age()};
 }
 
-auto store_follower::refresh() -> boost::asio::awaitable<bool> {
+auto store_follower::refresh() -> boost::asio::awaitable<refresh_result> {
     if (m_refreshing) {
-        co_return false;
+        co_return refresh_result::failed;
     }
     m_refreshing = true;
     const auto sent = monotonic_now();
     const auto newest_before = m_replica.newest_heard;
-    const auto pages = co_await list_all();
+    const auto list = co_await read_object_list(m_store, m_options.kind, false);
     m_refreshing = false;
+    const auto& pages = list.pages;
     if (pages.empty() || is_of_past_era(pages.front().revision)) {
-        co_return false;
+        co_return refresh_result::failed;
     }
     const auto revision = pages.front().revision;
+    if (list.end != list_end::complete) {
+        apply_part_of_list(pages);
+        co_return refresh_result::incomplete;
+    }
     // A list older than what was known before the call was not read from the store's present state.
     const auto is_stale = revision < newest_before;
     const auto origin = change_origin{
@@ -205,7 +199,7 @@
     apply_list(pages, origin);
     m_watched_from = m_replica.complete_to;
     finish_answer(origin);
-    co_return true;
+    co_return refresh_result::complete;
 }
 
 /// Watches until the store no longer has the history, or another instance becomes the relay. Returns the
@@ -472,9 +466,9 @@
             co_await follow_relay(*from);
             continue;
         }
-        const auto listed_now = co_await refresh();
-        if (!listed_now) {
-            co_await sleep_for(retry_delay);
+        const auto listed = co_await refresh();
+        if (listed != refresh_result::complete) {
+            co_await sleep_for(listed == refresh_result::failed ? retry_delay : max_retry_delay);
             continue;
         }
         if (lost_after && m_watched_from <= *lost_after) {
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -36,6 +36,13 @@
     instant as_of{};
 };
 
+/// What came of listing the objects again.
+enum class refresh_result {
+    failed,     ///< The store could not be read, or a refresh is already in progress.
+    incomplete, ///< The list could not be read to its end; what it contains is applied.
+    complete,
+};
+
 /// Callbacks of a store_follower.
 struct follower_events {
     /// One object was added, changed or removed. @a not_before is the last time at which this change had not
@@ -75,9 +82,8 @@
 
     /// Follows the objects for as long as the event loop runs.
     auto run() -> boost::asio::awaitable<void>;
-    /// Lists the objects from the store again, independently of a watch that may hang. Returns false when the
-    /// store could not be read or a refresh is already in progress.
-    auto refresh() -> boost::asio::awaitable<bool>;
+    /// Lists the objects from the store again, independently of a watch that may hang.
+    auto refresh() -> boost::asio::awaitable<refresh_result>;
     /// Handles the request of an instance that follows this one: waits until there are changes newer than
     /// those in @a body. Returns an empty string unless this instance follows the store directly.
     auto answer_follower(std::string body) -> boost::asio::awaitable<std::string>;
@@ -112,7 +118,7 @@
     auto relay_address() const -> std::optional<endpoint>;
 
 private:
-    auto list_all() -> boost::asio::awaitable<std::vector<object_page>>;
+    auto apply_part_of_list(const std::vector<object_page>& pages) -> void;
     auto apply_list(const std::vector<object_page>& pages, const change_origin& origin) -> void;
     auto apply_object(const store_object& object, const change_origin& origin) -> void;
     auto apply_patch(const relayed_object& relayed) -> bool;
--- a/src/teaselcross/logging/log.cpp
+++ b/src/teaselcross/logging/log.cpp
@@ -1,5 +1,8 @@
 #include "logging/log.h"
 
+#include "core/field_text.h"
+
+#include <algorithm>
 #include <atomic>
 
 namespace teaselcross::log {
@@ -17,7 +20,8 @@
 }
 
 auto needs_quotes(const std::string& value) -> bool {
-    return value.empty() || value.find_first_of(" \"=\n\t") != std::string::npos;
+    return value.empty() || value.find_first_of(" \"=\\") != std::string::npos ||
+           std::any_of(value.begin(), value.end(), is_control_character);
 }
 
 auto append_quoted(std::string& line, const std::string& value) -> void {
@@ -26,7 +30,7 @@
         if (character == '"' || character == '\\') {
             line += '\\';
         }
-        line += character == '\n' ? ' ' : character;
+        line += is_control_character(character) ? ' ' : character; // It could end the line.
     }
     line += '"';
 }
--- a/tests/gateway/store_follower_test.cpp
+++ b/tests/gateway/store_follower_test.cpp
@@ -311,11 +311,11 @@
     const auto lists = m_script.lists;
     const auto watches = m_script.watches;
     const auto age = m_follower.state().age;
-    auto refreshed = std::optional<bool>{};
+    auto refreshed = std::optional<refresh_result>{};
     boost::asio::co_spawn(m_context, m_follower.refresh(),
-                          [&](const std::exception_ptr&, bool done) { refreshed = done; });
+                          [&](const std::exception_ptr&, refresh_result result) { refreshed = result; });
     ASSERT_TRUE(run_until([&] { return refreshed && m_script.watches > watches + 2; }));
-    EXPECT_FALSE(*refreshed);
+    EXPECT_EQ(*refreshed, refresh_result::failed);
     EXPECT_GT(m_script.lists, lists);
     EXPECT_EQ(m_changes.size(), 1U);
     EXPECT_GT(m_follower.state().age, age);
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -17,7 +17,6 @@
 
 constexpr auto first_restore = duration{std::chrono::seconds{4}}; ///< After the begin of the faults.
 constexpr auto pause_between_restores = duration{std::chrono::milliseconds{500}}; ///< Once to eight times.
-constexpr auto longest_restart = duration{std::chrono::seconds{3}};
 constexpr auto kinds_around_restore = 4U; ///< The last of them is none, here and below.
 constexpr auto kinds_beside_restore = 5U;
 constexpr auto rewrite_within = duration{std::chrono::seconds{1}}; ///< After a restore, by the platform.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,5 +1,6 @@
 #include "soak.h"
 
+#include "foreign_entries.h"
 #include "platform/store.h"
 #include "runtime/clock.h"
 
@@ -36,6 +37,8 @@
 constexpr auto heartbeat = duration{std::chrono::milliseconds{870}};
 constexpr auto lapse = heartbeat * 3; ///< Silence after which a target's entry is removed.
 constexpr auto start_up = duration{std::chrono::seconds{8}};
+/// Sorts among the names of targets, instances and data centres.
+constexpr auto foreign_prefix = "f";
 
 auto began() -> instant {
     static const auto at = monotonic_now();
@@ -46,7 +49,8 @@
 
 soak::soak(soak_options options)
     : m_options{std::move(options)}, m_random{m_options.seed}, m_restore_random{m_options.seed + 1},
-      m_pause_random{m_options.seed + 2}, m_store{m_context, address(store_port), m_options.seed},
+      m_pause_random{m_options.seed + 2}, m_store{m_context, address(store_port), m_options.seed,
+                                                  3 + m_options.seed % 10},
       m_targets{m_context, m_store, m_seen, drain_bound, m_options.seed} {
     std::filesystem::create_directories(m_options.directory);
     for (std::size_t index = 0; index < m_options.targets; ++index) {
@@ -199,6 +203,16 @@
     }
 }
 
+/// Objects of another writer, which stay for the whole soak and name nothing to use.
+auto soak::put_foreign_entries() -> void {
+    for (const auto* kind : {platform::kinds::targets, platform::kinds::routes, platform::kinds::evacuations,
+                             platform::kinds::instances, platform::kinds::key_maps}) {
+        for (const auto& name : foreign_names(foreign_prefix)) {
+            m_store.put(kind, name, {{"foreign", true}});
+        }
+    }
+}
+
 /// Targets that live write their entries; those of dead ones lapse.
 auto soak::heartbeats() -> asio::awaitable<void> {
     auto silent_since = std::map<std::string, instant>{};
@@ -251,9 +265,13 @@
     while (m_faults_now > 0) {
         co_await pause(std::chrono::milliseconds{50});
     }
-    tell("faults are over");
+    tell("faults are over; all instances are restarted");
     m_playing = true;
     spawn(m_context, heartbeats());
+    for (std::size_t index = 0; index < m_processes.size(); ++index) {
+        spawn(m_context, kill_instance(index));
+    }
+    co_await pause(longest_restart);
     for (std::size_t index = 0; index < m_processes.size(); ++index) {
         if (m_processes[index].pid == 0) {
             launch(index);
@@ -278,6 +296,7 @@
 
 auto soak::run() -> int {
     m_store.start();
+    put_foreign_entries();
     for (std::size_t index = 0; index < m_target_links.size(); ++index) {
         m_target_links[index]->start();
         m_targets.all()[index]->start();
@@ -300,6 +319,10 @@
     for (const auto& each : m_processes) {
         check_log(each.log_file, m_seen);
     }
+    if (m_store.malformed_calls() > 0) {
+        report_broken(m_seen, "calls to the store are well formed",
+                      std::to_string(m_store.malformed_calls()) + " were refused");
+    }
     std::cout << "seed " << m_options.seed << ": " << m_seen.broken << " promises broken;";
     for (const auto& [name, count] : m_seen.counts) {
         std::cout << " " << name << ": " << count << ";";
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -38,6 +38,7 @@
 enum class delay_kind : std::uint64_t { cut_off, late_reading, late_orders, all };
 /// Orders that get no answer are carried out so much later, by the platform's pages.
 constexpr auto most_carried_out_late = duration{std::chrono::seconds{12}};
+constexpr auto longest_restart = duration{std::chrono::seconds{3}};
 constexpr auto drain_bound = duration{std::chrono::seconds{2}};
 /// By index of an instance or a target, in turn.
 constexpr auto data_centres = std::array<const char*, 2>{"west", "east"};
@@ -86,6 +87,7 @@
     auto has_accounts() const -> bool { return m_options.seed >= first_seed_with_accounts; }
     auto write_settings(std::size_t index) -> void;
     auto write_config() -> void;
+    auto put_foreign_entries() -> void;
     auto launch(std::size_t instance) -> void;
     auto end(process& ended) -> void;
     auto heartbeats() -> boost::asio::awaitable<void>;
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -10,8 +10,11 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
+#include <optional>
 #include <sstream>
+#include <stdexcept>
 
 namespace teaselcross::soak {
 
@@ -21,7 +24,6 @@
 
 namespace {
 
-constexpr auto page_size = std::size_t{50};
 constexpr auto most_history = std::size_t{4000};
 constexpr auto watch_poll = duration{std::chrono::milliseconds{5}};
 constexpr auto answer_time = duration{std::chrono::milliseconds{2}};
@@ -34,34 +36,70 @@
 
 } // namespace
 
-/// A call's path and query.
+/// A call's path and query. Throws std::invalid_argument if they are malformed.
 struct store::call {
     std::string kind;
     std::string name;
     std::map<std::string, std::string> query;
 
     explicit call(const std::string& target) {
-        const auto rest = target.substr(std::string{platform::names::objects_path}.size());
+        const auto prefix = std::string{platform::names::objects_path};
+        if (!target.starts_with(prefix)) {
+            throw std::invalid_argument{"not a path of objects"};
+        }
+        const auto rest = target.substr(prefix.size());
         const auto question = std::min(rest.find('?'), rest.size());
         const auto path = rest.substr(0, question);
         const auto slash = std::min(path.find('/'), path.size());
-        kind = path.substr(0, slash);
-        name = slash < path.size() ? path.substr(slash + 1) : std::string{};
+        kind = decoded(path.substr(0, slash));
+        name = decoded(slash < path.size() ? path.substr(slash + 1) : std::string{});
         auto pairs = std::istringstream{question < rest.size() ? rest.substr(question + 1) : std::string{}};
         for (auto pair = std::string{}; std::getline(pairs, pair, '&');) {
-            const auto equals = std::min(pair.find('='), pair.size());
-            query[pair.substr(0, equals)] = equals < pair.size() ? pair.substr(equals + 1) : std::string{};
+            const auto equals = pair.find('=');
+            if (equals == std::string::npos || !is_known(pair.substr(0, equals))) {
+                throw std::invalid_argument{"unknown query: " + pair};
+            }
+            auto value = pair.substr(equals + 1);
+            std::replace(value.begin(), value.end(), '+', ' '); // As in forms.
+            query[pair.substr(0, equals)] = decoded(value, " ");
+        }
+    }
+
+    static auto is_known(const std::string& field) -> bool {
+        return field == "after" || field == "serializable" || field == "watch" || field == "wait-ms" ||
+               field == "revision";
+    }
+
+    /// Reverses percent-encoding (RFC 3986, section 2.1). Only letters, digits, some other characters and
+    /// those of @a allowed_too may stand for themselves.
+    static auto decoded(const std::string& text, std::string_view allowed_too = "&=+") -> std::string {
+        constexpr auto digits = std::string_view{"0123456789abcdefABCDEF"};
+        constexpr auto allowed = std::string_view{"-._~!$'()*,;:@"};
+        auto result = std::string{};
+        for (std::size_t at = 0; at < text.size(); ++at) {
+            const auto each = text[at];
+            if (each == '%' && at + 2 < text.size() && text.find_first_not_of(digits, at + 1) > at + 2) {
+                result += static_cast<char>(std::stoi(text.substr(at + 1, 2), nullptr, 16));
+                at += 2;
+            } else if (std::isalnum(static_cast<unsigned char>(each)) != 0 ||
+                       allowed.find(each) != std::string_view::npos ||
+                       allowed_too.find(each) != std::string_view::npos) {
+                result += each;
+            } else {
+                throw std::invalid_argument{"not allowed in a path or query"};
+            }
         }
+        return result;
     }
 };
 
-store::store(asio::io_context& context, endpoint address, std::uint64_t seed)
+store::store(asio::io_context& context, endpoint address, std::uint64_t seed, std::size_t page_size)
     : m_context{context}, m_server{context.get_executor(),
                                    {.host = address.host, .port = address.port},
                                    [this](responder& from, http_request request) {
                                        return handle(from, std::move(request));
                                    }},
-      m_random{seed} {}
+      m_random{seed}, m_page_size{page_size} {}
 
 auto store::pause(duration period) -> asio::awaitable<void> {
     auto timer = asio::steady_timer{m_context, period};
@@ -171,7 +209,16 @@
     while (m_faults.mode == store_mode::silent && mode == store_mode::silent) {
         co_await pause(watch_poll * 10);
     }
-    const auto asked = call{std::string{request.target()}};
+    auto parsed = std::optional<call>{};
+    try {
+        parsed.emplace(std::string{request.target()});
+    } catch (const std::invalid_argument& /*malformed*/) {
+        ++m_malformed_calls;
+    }
+    if (!parsed) {
+        co_return co_await answer(from, json_answer(request, http::status::bad_request, "{}"));
+    }
+    const auto& asked = *parsed;
     if (mode == store_mode::silent) { // A call that was met with silence is never answered.
         if (late_writes > 0 && request.method() != http::verb::get &&
             std::uniform_real_distribution<double>{}(m_random) < late_writes) {
@@ -210,7 +257,7 @@
     const auto& objects = m_objects[asked.kind];
     auto each = after == asked.query.end() ? objects.begin() : objects.upper_bound(after->second);
     auto items = json::array();
-    for (; each != objects.end() && items.size() < page_size; ++each) {
+    for (; each != objects.end() && items.size() < m_page_size; ++each) {
         items.push_back(each->second);
     }
     const auto body =
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -25,7 +25,8 @@
 
 class store {
 public:
-    store(boost::asio::io_context& context, endpoint address, std::uint64_t seed);
+    /// Lists have up to @a page_size objects a page.
+    store(boost::asio::io_context& context, endpoint address, std::uint64_t seed, std::size_t page_size = 50);
 
     auto start() -> void { m_server.start(); }
     auto faults() -> store_faults& { return m_faults; }
@@ -36,6 +37,8 @@
     auto restore(duration age, duration rewrite_within) -> void;
     /// Calls that have arrived, answered or not.
     auto calls() const -> std::uint64_t { return m_calls; }
+    /// Calls that were refused because their path or query is malformed.
+    auto malformed_calls() const -> std::uint64_t { return m_malformed_calls; }
     auto era() const -> std::uint64_t { return m_era; }
     auto port() const -> std::uint16_t { return m_server.port(); }
     /// The specification of the object with the key KIND/NAME; null if there is none.
@@ -77,6 +80,8 @@
     std::uint64_t m_forgotten = 0; ///< The latest revision that the history lacks.
     std::uint64_t m_era = 1;
     std::uint64_t m_calls = 0;
+    std::uint64_t m_malformed_calls = 0;
+    std::size_t m_page_size;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects; ///< By kind and name.
     /// Specifications as the platform last wrote them, by kind and name; null where it removed the object.
     std::map<std::string, std::map<std::string, nlohmann::json>> m_platform_objects;
