--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -266,7 +266,14 @@
             m_grants_in_flight += is_grant ? 1U : 0U;
         };
         call.reading_limit = is_grant ? m_options.overdue_limit : duration{};
-        answer = co_await call_holder(m_order_pool, std::move(call));
+        try {
+            answer = co_await call_holder(m_order_pool, std::move(call));
+        } catch (const std::exception& error) {
+            // The range would wait for the outcome of this call for ever.
+            answer.result = is_begun ? command_result::unanswered : command_result::not_sent;
+            log::error("order_failed",
+                       {{"service", service}, {"target", order.to.id}, {"error", error.what()}});
+        }
     }
     m_grants_in_flight -= is_grant && is_begun ? 1U : 0U;
     const auto now = monotonic_now();
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -227,6 +227,21 @@
     EXPECT_EQ(platform::read_order_answer(order, answer, handover), command_result::unanswered);
 }
 
+// Guards against keys that stay out of service: the token of their last holder could not be put into a grant.
+TEST(platform_messages, token_that_json_cannot_carry_is_dropped) {
+    const auto release = holder_command{.kind = command_kind::release, .fence = 12};
+    for (const auto& token : {std::string{"\xff\xfe"}, std::string{"a\xc3"}, std::string{"\xed\xa0\x80"}}) {
+        auto answer = http_response{http::status::ok, 11};
+        answer.set("Teaselcross-Handover", token);
+        auto handover = std::string{};
+        EXPECT_EQ(platform::read_order_answer(release, answer, handover), command_result::done)
+            << "the keys are free";
+        const auto grant = holder_command{.kind = command_kind::grant, .fence = 13, .handover = handover};
+        EXPECT_NO_THROW(platform::make_order(grant, "h"));
+        EXPECT_TRUE(handover.empty());
+    }
+}
+
 TEST(platform_messages, targets_that_leave_or_ask_for_quiet_are_recognised) {
     const auto read = [](http::status status, const std::string& field, const std::string& value) {
         auto answer = open_answer{};
