Keep exceptions of the HTTP parser out of the event loop

Cause: Beast's parser throws std::length_error for a field of 65,534 bytes or more. The header limit covers neither trailers nor headers above 64 KB. Beast's asynchronous reads call the parser in a handler of the event loop, where no coroutine of ours can catch it, and run() passed it on to main().

Change: http/message_reader reads and parses within the coroutine. Such a field is an error of its message: 431 for a request; an answer is lost, so that a request that runs at most once ends with 502 and others are sent again. An exception that still leaves a handler is logged, the loop goes on, and the request or connection whose coroutine it destroys is counted out and closed. Signals are awaited again before they are handled.

--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -14,6 +14,7 @@
 #include "platform/settings.h"
 #include "platform/store.h"
 #include "runtime/clock.h"
+#include "runtime/event_loop.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -71,7 +72,7 @@
 
     /// Opens the ports. Throws boost::system::system_error when an address is in use.
     auto start() -> void;
-    auto run() -> void { m_context.run(); }
+    auto run() -> void { run_event_loop(m_context); }
 
 private:
     auto executor() -> asio::any_io_executor { return m_context.get_executor(); }
@@ -449,6 +450,7 @@
         if (error) {
             return;
         }
+        watch_signals(); // First, so that a failure below does not leave later signals unnoticed.
         if (signal == SIGHUP) {
             log::info("hang_up", {});
             reload("signal");
@@ -456,7 +458,6 @@
             m_stopping = true;
             spawn("stop", [this] { return stop(); });
         }
-        watch_signals();
     });
 }
 
--- a/src/teaselcross/http/exchange.cpp
+++ b/src/teaselcross/http/exchange.cpp
@@ -1,10 +1,10 @@
 #include "http/exchange.h"
 
+#include "http/message_reader.h"
 #include "runtime/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -48,8 +48,8 @@
         answer.parser->header_limit(answer_header_limit);
         answer.parser->body_limit(boost::none);
         answer.parser->skip(without_body);
-        const auto [error, read] = co_await http::async_read_header(
-            answer.client_connection->stream, answer.client_connection->buffer, *answer.parser, as_result);
+        const auto error = co_await receive_header(answer.client_connection->stream,
+                                                   answer.client_connection->buffer, *answer.parser);
         if (error) {
             co_return false;
         }
@@ -69,8 +69,8 @@
     body.data = to.data() + start;
     body.size = size;
     answer.client_connection->stream.expires_after(stall_timeout);
-    auto [error, read] = co_await http::async_read_some(
-        answer.client_connection->stream, answer.client_connection->buffer, *answer.parser, as_result);
+    auto error = co_await receive_some(answer.client_connection->stream, answer.client_connection->buffer,
+                                       *answer.parser);
     if (error == http::error::need_buffer) {
         error = {};
     }
--- a/src/teaselcross/http/responder.cpp
+++ b/src/teaselcross/http/responder.cpp
@@ -82,6 +82,9 @@
 
 responder::~responder() {
     std::erase(m_link->responders, this);
+    if (!m_finished) {
+        m_link->close(); // The responses behind this one cannot be told from it.
+    }
     m_link->wake_reader();
 }
 
@@ -126,6 +129,7 @@
         m_link->close();
         return;
     }
+    m_finished = true;
     ++m_link->current_number;
     for (const auto* each : m_link->responders) {
         if (each->m_number == m_link->current_number) {
--- a/src/teaselcross/http/responder.h
+++ b/src/teaselcross/http/responder.h
@@ -86,6 +86,7 @@
     std::shared_ptr<client_link> m_link;
     std::uint64_t m_number;
     bool m_responded = false;
+    bool m_finished = false; ///< The response was written completely.
     bool m_closes_connection = false;
     std::function<void()> m_on_disconnect;
     /// Both expire when something is waited for; they are created only then.
--- a/src/teaselcross/http/server.cpp
+++ b/src/teaselcross/http/server.cpp
@@ -1,18 +1,19 @@
 #include "http/server.h"
 
+#include "http/message_reader.h"
 #include "logging/log.h"
 #include "runtime/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
+#include <exception>
+#include <optional>
 
 #include <sys/socket.h>
 
@@ -86,13 +87,27 @@
     return method == http::verb::get || method == http::verb::head || method == http::verb::options;
 }
 
+/// Counts something for as long as it lives.
+class counted {
+public:
+    explicit counted(std::shared_ptr<std::size_t> count) : m_count{std::move(count)} { ++*m_count; }
+    counted(const counted&) = delete;
+    auto operator=(const counted&) -> counted& = delete;
+    ~counted() { --*m_count; }
+
+private:
+    std::shared_ptr<std::size_t> m_count;
+};
+
 } // namespace
 
 /// A client connection with what its reader waits for.
 struct http_server::session {
-    explicit session(asio::ip::tcp::socket socket) : link{std::make_shared<client_link>(std::move(socket))} {}
+    session(asio::ip::tcp::socket socket, std::shared_ptr<std::size_t> connections)
+        : link{std::make_shared<client_link>(std::move(socket))}, open{std::move(connections)} {}
 
     std::shared_ptr<client_link> link;
+    counted open;
     bool watching = false;   ///< The socket is watched for input.
     bool has_input = false;  ///< The socket has input, or was closed by the client.
     bool has_served = false; ///< A request has been read.
@@ -111,12 +126,35 @@
     m_acceptor.set_option(asio::socket_base::reuse_address{true});
     m_acceptor.bind(local);
     m_acceptor.listen();
-    asio::co_spawn(m_executor, accept(), asio::detached);
+    spawn(accept());
+}
+
+/// Runs @a work, which ends with its own connection or request if it throws.
+auto http_server::spawn(asio::awaitable<void> work) -> void {
+    asio::co_spawn(m_executor, std::move(work), [port = m_options.port](const std::exception_ptr& failure) {
+        try {
+            if (failure) {
+                std::rethrow_exception(failure);
+            }
+        } catch (const std::exception& error) {
+            log::error("connection_failed", {{"port", port}, {"error", error.what()}});
+        }
+    });
+}
+
+auto http_server::open_sessions() const -> std::vector<std::shared_ptr<session>> {
+    auto open = std::vector<std::shared_ptr<session>>{};
+    for (const auto& each : m_sessions) {
+        if (auto found = each.lock()) {
+            open.push_back(std::move(found));
+        }
+    }
+    return open;
 }
 
 auto http_server::close_after_next_answer() -> void {
     m_close_after_next_answer = true;
-    for (const auto& each : m_sessions) {
+    for (const auto& each : open_sessions()) {
         each->link->closing = true;
     }
 }
@@ -126,7 +164,7 @@
     m_stopping = true;
     auto ignored = boost::system::error_code{};
     m_acceptor.close(ignored);
-    for (const auto& each : m_sessions) {
+    for (const auto& each : open_sessions()) {
         each->link->closing = true;
         each->link->wake_reader();
     }
@@ -143,7 +181,7 @@
     m_stopping = true;
     auto ignored = boost::system::error_code{};
     m_acceptor.close(ignored);
-    for (const auto& each : m_sessions) {
+    for (const auto& each : open_sessions()) {
         // A TCP reset, so that no peer takes it for an orderly shutdown.
         each->link->stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
         each->link->close();
@@ -181,19 +219,19 @@
 }
 
 auto http_server::start_session(asio::ip::tcp::socket socket) -> void {
-    if (m_sessions.size() >= m_options.connection_limit) {
+    if (connections() >= m_options.connection_limit) {
         log::warning("connection_limit", {{"port", m_options.port}, {"limit", m_options.connection_limit}});
         return;
     }
     auto ignored = boost::system::error_code{};
     socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-    auto client_session = std::make_shared<session>(std::move(socket));
+    auto client_session = std::make_shared<session>(std::move(socket), m_connections);
     auto& link = *client_session->link;
     const auto remote = link.stream.socket().remote_endpoint(ignored);
     link.remote = ignored ? std::string{} : remote.address().to_string();
     link.closing = m_close_after_next_answer || m_stopping;
     m_sessions.insert(client_session);
-    asio::co_spawn(m_executor, serve(client_session), asio::detached);
+    spawn(serve(std::move(client_session)));
 }
 
 /// Whether the next request may be read. While the connection is closing, requests are read one at a time, so
@@ -283,9 +321,7 @@
     // The parser keeps a chunk's extensions and the trailers in the buffer and limits neither.
     link.buffer.max_size(std::max(link.buffer.size(), m_options.header_limit + read_ahead_limit));
     link.stream.expires_after(m_options.request_limit);
-    const auto [header_error, size] =
-        co_await http::async_read_header(link.stream, link.buffer, parser, as_result);
-    auto error = header_error;
+    auto error = co_await receive_header(link.stream, link.buffer, parser);
     auto reserved = memory_reservation{m_options.body_memory};
     if (!error) {
         error = co_await read_body(client_session, parser, reserved);
@@ -312,8 +348,7 @@
     }
     link.reading_ended = !parser.get().keep_alive();
     auto to = std::make_shared<responder>(client_session->link);
-    asio::co_spawn(m_executor, respond(client_session, std::move(to), parser.release(), std::move(reserved)),
-                   asio::detached);
+    spawn(respond(client_session, std::move(to), parser.release(), std::move(reserved)));
 }
 
 /// Reads the body of a request whose header has been read. Fails with no_memory, without the rest of the
@@ -336,8 +371,7 @@
         if (monotonic_now() >= until) {
             co_return boost::beast::error::timeout;
         }
-        const auto [error, size] =
-            co_await http::async_read_some(link.stream, link.buffer, parser, as_result);
+        const auto error = co_await receive_some(link.stream, link.buffer, parser);
         if (error) {
             co_return error;
         }
@@ -361,7 +395,7 @@
     const auto runs_alone = !is_safe(request.method());
     client_session->bytes_in_progress += bytes;
     client_session->runs_alone = client_session->runs_alone || runs_alone;
-    ++m_busy;
+    auto handled = std::make_optional<counted>(m_busy);
     auto may_run = true;
     if (runs_alone) {
         may_run = co_await to->wait_turn();
@@ -383,7 +417,7 @@
             keep_open = co_await write_answer(*to, std::move(answer));
         }
     }
-    --m_busy;
+    handled.reset();
     client_session->bytes_in_progress -= bytes;
     client_session->runs_alone = client_session->runs_alone && !runs_alone;
     client_session->idle_since = monotonic_now();
--- a/src/teaselcross/http/server.h
+++ b/src/teaselcross/http/server.h
@@ -7,7 +7,9 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <memory>
 #include <set>
+#include <vector>
 
 namespace teaselcross {
 
@@ -64,8 +66,8 @@
     /// @pre start() has been called.
     auto port() const -> std::uint16_t { return m_acceptor.local_endpoint().port(); }
     /// Number of requests whose response has not been finished.
-    auto busy() const -> std::size_t { return m_busy; }
-    auto connections() const -> std::size_t { return m_sessions.size(); }
+    auto busy() const -> std::size_t { return *m_busy; }
+    auto connections() const -> std::size_t { return *m_connections; }
 
 private:
     struct session;
@@ -74,6 +76,8 @@
     auto accept() -> boost::asio::awaitable<void>;
     auto accept_waiting() -> void;
     auto start_session(boost::asio::ip::tcp::socket socket) -> void;
+    auto open_sessions() const -> std::vector<std::shared_ptr<session>>;
+    auto spawn(boost::asio::awaitable<void> work) -> void;
     auto serve(std::shared_ptr<session> client_session) -> boost::asio::awaitable<void>;
     auto may_read(const session& client_session) const -> bool;
     auto close_gracefully(std::shared_ptr<session> client_session) -> boost::asio::awaitable<void>;
@@ -93,8 +97,12 @@
     server_options m_options;
     request_handler m_handler;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::set<std::shared_ptr<session>> m_sessions;
-    std::size_t m_busy = 0;
+    /// The coroutine that serves a connection owns its session.
+    std::set<std::weak_ptr<session>, std::owner_less<>> m_sessions;
+    /// Shared with the connections and requests, which are counted until they are destroyed: also when an
+    /// exception ends their coroutine, or the event loop is destroyed after the server.
+    std::shared_ptr<std::size_t> m_connections = std::make_shared<std::size_t>();
+    std::shared_ptr<std::size_t> m_busy = std::make_shared<std::size_t>();
     bool m_stopping = false;
     bool m_close_after_next_answer = false;
 };
--- a/src/teaselcross/runtime/executor_thread.cpp
+++ b/src/teaselcross/runtime/executor_thread.cpp
@@ -1,5 +1,7 @@
 #include "runtime/executor_thread.h"
 
+#include "runtime/event_loop.h"
+
 #include <boost/asio/post.hpp>
 
 #include <pthread.h>
@@ -16,7 +18,7 @@
 auto executor_thread::start() -> void {
     m_thread = std::thread{[this] {
         pthread_setname_np(pthread_self(), m_name.c_str());
-        m_context.run();
+        run_event_loop(m_context);
     }};
 }
 
