Wait for slow readers before a connection is closed

Cause: half a second after the answer was handed to the kernel the socket was closed with the further request unread. Linux resets such a connection and drops what it has not sent yet.

Change: a connection that closes stays until everything was acknowledged (SIOCOUTQ) and the caller has closed its side, or 0.5 s more; no further request is read. Up to 30 s, 256 connections and 64 MB a port, beyond which the one that has waited longest is reset (lingering_limit); the end of a stop is unchanged. The same holds for each close with an answer on its way: idle end, Connection: close, a malformed request or one refused for lack of memory behind a good one, and a response that fails midway, which closed the socket at once and took the answers before it along.

--- a/src/teaselcross/http/responder.cpp
+++ b/src/teaselcross/http/responder.cpp
@@ -8,7 +8,11 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <array>
 
+#include <linux/sockios.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace teaselcross {
@@ -21,6 +25,12 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr auto write_timeout = std::chrono::seconds{30};
 
+/// What poll() reports at once about the end of a connection.
+auto poll_events(asio::ip::tcp::socket& socket) -> int {
+    auto polled = pollfd{.fd = socket.native_handle(), .events = POLLRDHUP, .revents = 0};
+    return ::poll(&polled, 1, 0) == 1 ? polled.revents : 0;
+}
+
 /// Waits on @a timer, which is created if needed, until it is cancelled.
 auto wait_on(std::unique_ptr<asio::steady_timer>& timer, const asio::any_io_executor& executor)
     -> asio::awaitable<void> {
@@ -58,12 +68,55 @@
     return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+auto client_link::has_client_finished() -> bool {
+    return (poll_events(stream.socket()) & (POLLRDHUP | POLLHUP)) != 0;
+}
+
+auto client_link::is_broken() -> bool {
+    return disconnected || !stream.socket().is_open() ||
+           (poll_events(stream.socket()) & (POLLERR | POLLNVAL)) != 0;
+}
+
+auto client_link::unacknowledged_bytes() -> std::optional<std::size_t> {
+    auto bytes = int{0};
+    const auto result = ::ioctl(stream.socket().native_handle(), SIOCOUTQ, &bytes);
+    return result == 0 && bytes >= 0 ? std::optional{static_cast<std::size_t>(bytes)} : std::nullopt;
+}
+
+auto client_link::discard_input() -> bool {
+    constexpr auto max_reads = 16; // The event loop has other work.
+    auto discarded = std::array<char, 4096>{};
+    const auto socket = stream.socket().native_handle();
+    auto reads = 0;
+    for (; reads < max_reads; ++reads) {
+        const auto received = ::recv(socket, discarded.data(), discarded.size(), MSG_DONTWAIT);
+        if (received <= 0) {
+            break;
+        }
+    }
+    return reads > 0;
+}
+
+auto client_link::end_writing() -> void {
+    auto ignored = boost::system::error_code{};
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+auto client_link::reset() -> void {
+    auto ignored = boost::system::error_code{};
+    stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+    stream.close();
+    close();
+    wake_reader();
+}
+
 auto client_link::close() -> void {
     if (closed) {
         return;
     }
     closed = true;
-    stream.close();
+    stream.cancel();
+    end_writing();
     for (auto* each : std::vector<responder*>{responders}) {
         each->notify_disconnected();
         cancel(each->m_turn);
--- a/src/teaselcross/http/responder.h
+++ b/src/teaselcross/http/responder.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,8 +32,24 @@
     /// Whether the client has closed its side, also if nobody has noticed yet. False if there is input to be
     /// read first.
     auto is_closed_by_client() -> bool;
-    /// Closes the connection; responses that have not been written are dropped.
+    /// Whether the client has closed its side, also behind input that was not read.
+    auto has_client_finished() -> bool;
+    /// Whether the connection is of no more use: it was closed here, or has failed.
+    auto is_broken() -> bool;
+    /// Bytes that were written and that the client's system has not acknowledged; nothing if the system does
+    /// not tell.
+    auto unacknowledged_bytes() -> std::optional<std::size_t>;
+    /// Reads input that has arrived, and drops it. Returns false if there was none.
+    auto discard_input() -> bool;
+
+    /// Ends the responses: those that have not been written are dropped, and the requests in progress are
+    /// told. What was written still reaches the client for as long as the reader of requests keeps the
+    /// socket.
     auto close() -> void;
+    /// Ends the sending side, behind what was written.
+    auto end_writing() -> void;
+    /// Closes the connection with a TCP reset, as when the process is killed.
+    auto reset() -> void;
     /// Wakes the coroutine that reads requests.
     auto wake_reader() -> void;
 
@@ -47,7 +64,7 @@
     /// connection.
     bool closing = false;
     bool disconnected = false;
-    bool closed = false;
+    bool closed = false;                ///< Nothing more is written.
     std::vector<responder*> responders; ///< Of the requests in progress.
 };
 
--- a/src/teaselcross/http/server.cpp
+++ b/src/teaselcross/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "http/message_reader.h"
+#include "http/server_session.h"
 #include "logging/log.h"
 #include "runtime/clock.h"
 
@@ -11,7 +12,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <exception>
 #include <optional>
 
@@ -27,9 +27,6 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 /// How long a connection that was accepted before a stop may take to send its first request.
 constexpr auto first_request_limit = duration{std::chrono::milliseconds{200}};
-/// How long the client may take to close its side. A connection that is closed with unread requests is reset,
-/// and the client may lose the last response with it.
-constexpr auto linger_time = duration{std::chrono::milliseconds{500}};
 
 /// Bytes of a connection that are buffered beside a header, before they are parsed.
 constexpr auto read_ahead_limit = std::size_t{256} * 1024;
@@ -87,35 +84,8 @@
     return method == http::verb::get || method == http::verb::head || method == http::verb::options;
 }
 
-/// Counts something for as long as it lives.
-class counted {
-public:
-    explicit counted(std::shared_ptr<std::size_t> count) : m_count{std::move(count)} { ++*m_count; }
-    counted(const counted&) = delete;
-    auto operator=(const counted&) -> counted& = delete;
-    ~counted() { --*m_count; }
-
-private:
-    std::shared_ptr<std::size_t> m_count;
-};
-
 } // namespace
 
-/// A client connection with what its reader waits for.
-struct http_server::session {
-    session(asio::ip::tcp::socket socket, std::shared_ptr<std::size_t> connections)
-        : link{std::make_shared<client_link>(std::move(socket))}, open{std::move(connections)} {}
-
-    std::shared_ptr<client_link> link;
-    counted open;
-    bool watching = false;   ///< The socket is watched for input.
-    bool has_input = false;  ///< The socket has input, or was closed by the client.
-    bool has_served = false; ///< A request has been read.
-    bool runs_alone = false; ///< A request is in progress beside which no other one may run.
-    std::size_t bytes_in_progress = 0;
-    instant idle_since = monotonic_now();
-};
-
 http_server::http_server(asio::any_io_executor executor, server_options options, request_handler handler)
     : m_executor{std::move(executor)}, m_options{std::move(options)}, m_handler{std::move(handler)},
       m_acceptor{m_executor} {}
@@ -182,9 +152,7 @@
     auto ignored = boost::system::error_code{};
     m_acceptor.close(ignored);
     for (const auto& each : open_sessions()) {
-        // A TCP reset, so that no peer takes it for an orderly shutdown.
-        each->link->stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
-        each->link->close();
+        each->link->reset(); // No peer may take it for an orderly shutdown.
     }
 }
 
@@ -272,22 +240,6 @@
     m_sessions.erase(client_session);
 }
 
-/// Ends the connection for writing and waits a moment for the client to close its side. Reads nothing:
-/// requests that were not read are known to the client as not processed.
-auto http_server::close_gracefully(std::shared_ptr<session> client_session) -> asio::awaitable<void> {
-    auto& link = *client_session->link;
-    auto ignored = boost::system::error_code{};
-    link.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    const auto until = monotonic_now() + linger_time;
-    while (!link.closed && !link.disconnected && !ignored && monotonic_now() < until) {
-        if (client_session->has_input && link.is_closed_by_client()) {
-            break;
-        }
-        co_await wait_for_input(client_session, until - monotonic_now());
-    }
-    link.close();
-}
-
 /// Waits until the client sends or disconnects or a response ends, for at most @a limit.
 auto http_server::wait_for_input(std::shared_ptr<session> client_session, duration limit)
     -> asio::awaitable<void> {
@@ -433,8 +385,8 @@
     static_cast<void>(co_await write_answer(*to, error_answer(error, m_options.sets_outcome_header)));
 }
 
-/// Answers a request whose body was not read, and reads what the client still sends of it for a while: most
-/// clients look for a response only when they have sent the request.
+/// Answers a request whose body was not read. What the client still sends of it is read and discarded for a
+/// while: most clients look for a response only when they have sent the request.
 auto http_server::respond_busy(std::shared_ptr<session> client_session, const http::request_header<>& refused)
     -> asio::awaitable<void> {
     auto& link = *client_session->link;
@@ -449,20 +401,9 @@
     auto answer = m_options.make_busy_answer ? m_options.make_busy_answer(refused)
                                              : plain_busy_answer(m_options.sets_outcome_header);
     link.reading_ended = true;
+    client_session->discards_input = true;
     auto to = responder{client_session->link};
-    const auto is_sent = co_await write_answer(to, std::move(answer));
-    auto ignored = boost::system::error_code{};
-    link.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    const auto until = monotonic_now() + m_options.request_limit;
-    auto discarded = std::array<char, 4096>{};
-    while (is_sent && !link.closed && monotonic_now() < until) {
-        link.stream.expires_at(asio::steady_timer::clock_type::now() + (until - monotonic_now()));
-        const auto [error, size] = co_await link.stream.async_read_some(asio::buffer(discarded), as_result);
-        if (error) {
-            link.on_disconnected();
-            break;
-        }
-    }
+    static_cast<void>(co_await write_answer(to, std::move(answer)));
 }
 
 auto json_answer(const http_request& request, http::status status, const std::string& body) -> http_response {
--- a/src/teaselcross/http/server.h
+++ b/src/teaselcross/http/server.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -21,6 +22,12 @@
     std::uint32_t connection_limit = 4096;
     duration idle_limit = std::chrono::seconds{60};    ///< Between two requests.
     duration request_limit = std::chrono::seconds{10}; ///< For the complete request to arrive.
+    /// For the last responses of a connection to arrive at a client that reads slowly, once it gets no more.
+    duration linger_limit = std::chrono::seconds{30};
+    /// Connections that wait for that, and their bytes that have not arrived. Beyond a limit, the one that
+    /// has waited longest is closed.
+    std::size_t lingering_connections = 256;
+    std::size_t lingering_bytes = std::size_t{64} * 1024 * 1024;
     /// Requests of one connection that are handled at the same time; the next one is read afterwards.
     std::size_t pipeline_limit = 16;
     /// Bodies of the requests of one connection that are handled at the same time, in bytes; one request is
@@ -81,6 +88,8 @@
     auto serve(std::shared_ptr<session> client_session) -> boost::asio::awaitable<void>;
     auto may_read(const session& client_session) const -> bool;
     auto close_gracefully(std::shared_ptr<session> client_session) -> boost::asio::awaitable<void>;
+    auto linger(std::shared_ptr<session> client_session) -> boost::asio::awaitable<void>;
+    auto limit_lingering() -> void;
     auto wait_for_input(std::shared_ptr<session> client_session, duration limit)
         -> boost::asio::awaitable<void>;
     auto read_request(std::shared_ptr<session> client_session) -> boost::asio::awaitable<void>;
@@ -99,6 +108,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     /// The coroutine that serves a connection owns its session.
     std::set<std::weak_ptr<session>, std::owner_less<>> m_sessions;
+    std::deque<std::weak_ptr<session>> m_lingering; ///< The one that has waited longest first.
     /// Shared with the connections and requests, which are counted until they are destroyed: also when an
     /// exception ends their coroutine, or the event loop is destroyed after the server.
     std::shared_ptr<std::size_t> m_connections = std::make_shared<std::size_t>();
