Wake followers when a list that cannot be read to its end brings changes

Instances that follow this one learnt of them only with the next complete answer, or when their wait of 4 s ended. Read, not measured. The tests of followers and odd names pass as before.

--- a/src/teaselcross/gateway/object_list.h
+++ b/src/teaselcross/gateway/object_list.h
@@ -25,8 +25,7 @@
 
 /// Reads all objects of @a kind; @a allow_stale accepts data that is seconds old. Objects whose name cannot
 /// be read are left out. A list that cannot be continued is logged with the reason. The number of calls is
-/// bounded.
-/// @a store must outlive the call, which runs on its event loop.
+/// bounded. @a store must outlive the call, which runs on its event loop.
 auto read_object_list(store_access& store, std::string kind, bool allow_stale)
     -> boost::asio::awaitable<object_list>;
 
--- a/src/teaselcross/gateway/store_follower.cpp
+++ b/src/teaselcross/gateway/store_follower.cpp
@@ -132,6 +132,15 @@
             apply_object(object, origin);
         }
     }
+    wake_followers();
+}
+
+/// Wakes the followers of this instance if there were changes.
+auto store_follower::wake_followers() -> void {
+    if (m_notified_number != m_replica.change_number) {
+        m_notified_number = m_replica.change_number;
+        m_signal.notify();
+    }
 }
 
 /// Records what an answer says about the copy as a whole, and wakes the followers of this instance if there
@@ -139,10 +148,7 @@
 auto store_follower::finish_answer(const change_origin& origin) -> void {
     set_complete_to(m_replica, origin.revision);
     set_confirmed(origin.as_of);
-    if (m_notified_number != m_replica.change_number) {
-        m_notified_number = m_replica.change_number;
-        m_signal.notify();
-    }
+    wake_followers();
 }
 
 auto store_follower::is_writer() const -> bool {
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -124,6 +124,7 @@
     auto apply_patch(const relayed_object& relayed) -> bool;
     auto report_change(const store_object& object, bool was_live, const change_origin& origin) -> void;
     auto finish_answer(const change_origin& origin) -> void;
+    auto wake_followers() -> void;
     auto with_value(const store_object& object) const -> store_object;
     auto make_relayed(const object_replica::entry& entry, std::uint64_t known) -> std::vector<relayed_object>;
     auto differences_since(const object_replica::entry& entry, std::uint64_t known)
