--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -39,6 +39,16 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+/// The latest version that must be in force by now and its time, or the latest of all if there is none.
+auto latest_due_version(const journal& seen, instant now) -> std::pair<std::uint64_t, instant> {
+    for (auto each = seen.config_times.rbegin(); each != seen.config_times.rend(); ++each) {
+        if (now > each->second + config_bound + config_slack) {
+            return *each;
+        }
+    }
+    return {seen.config_version, seen.config_written_at};
+}
+
 } // namespace
 
 callers::callers(asio::io_context& context, std::vector<front>& fronts, journal& seen, caller_options options,
@@ -135,8 +145,9 @@
     auto reported = std::pair{known_life, known_version}; // Once for each process and version.
     while (!m_stopping) {
         co_await pause(m_context, probe_interval);
-        const auto version = m_seen.config_version;
-        const auto written_at = m_seen.config_written_at;
+        const auto latest = std::pair{m_seen.config_version, m_seen.config_written_at};
+        const auto [version, written_at] =
+            m_options.has_quick_changes ? latest_due_version(m_seen, monotonic_now()) : latest;
         const auto life = m_seen.lives[instance];
         const auto sent_at = monotonic_now();
         if (!m_fronts[instance].in_rotation || version == 0 || reported == std::pair{life, version}) {
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -32,6 +32,8 @@
     double rate = 150; ///< Requests a second of all callers.
     duration patience = std::chrono::milliseconds{1000};
     bool has_accounts = false; ///< Callers carry keys of client accounts.
+    /// The configuration changes so quickly that its latest version is never held to the bound in time.
+    bool has_quick_changes = false;
 };
 
 class callers {
@@ -56,7 +58,8 @@
     auto arrive() -> boost::asio::awaitable<void>;
     auto ask_readiness(front& asked) -> boost::asio::awaitable<void>;
     auto send(std::size_t instance) -> boost::asio::awaitable<void>;
-    /// Asks one instance again and again for the route that the latest configuration has added.
+    /// Asks one instance again and again for the route that the latest configuration has added, or with quick
+    /// changes the latest one that must be in force.
     auto probe_config(std::size_t instance) -> boost::asio::awaitable<void>;
     auto judge(const front& to, const std::string& id, const http_response& answer) -> void;
 
--- a/tests/soak/journal.h
+++ b/tests/soak/journal.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace teaselcross::soak {
@@ -37,6 +38,7 @@
     std::vector<std::uint64_t> lives;            ///< How often each instance's process was started.
     std::uint64_t config_version = 0;            ///< The latest that was written.
     instant config_written_at{};
+    std::vector<std::pair<std::uint64_t, instant>> config_times; ///< Each version, and when it was written.
     std::uint64_t earlier_config_version = 0;            ///< The one before the latest; 0 if there is none.
     std::map<std::string, account_expectation> accounts; ///< By request; empty without accounts.
     instant late_orders_until{}; ///< Orders that a thawed instance sends late don't count.
--- a/tests/soak/long_delays.cpp
+++ b/tests/soak/long_delays.cpp
@@ -23,7 +23,8 @@
 
 auto soak::has_long_delays(delay_kind kind) const -> bool {
     const auto chosen = static_cast<delay_kind>(m_options.seed % delay_kinds);
-    return m_options.seed >= first_seed_with_long_delays && (chosen == kind || chosen == delay_kind::all);
+    return m_options.seed >= first_seed_with_long_delays && !is_short_of_room() &&
+           (chosen == kind || chosen == delay_kind::all);
 }
 
 auto soak::cuts(instant until) -> asio::awaitable<void> {
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -1,5 +1,7 @@
 #include "proxy.h"
 
+#include "runtime/clock.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -90,6 +92,13 @@
     }
 }
 
+auto proxy::reserve(std::size_t size, bool to_target) -> instant {
+    auto& busy_until = m_busy_until.at(to_target ? 1 : 0);
+    const auto taken = std::chrono::duration<double>(static_cast<double>(size) / m_rate);
+    busy_until = std::max(busy_until, monotonic_now()) + std::chrono::duration_cast<duration>(taken);
+    return busy_until;
+}
+
 auto proxy::pump(std::shared_ptr<session> through, bool to_target) -> asio::awaitable<void> {
     auto& from = to_target ? through->caller : through->target;
     auto& to = to_target ? through->target : through->caller;
@@ -128,6 +137,10 @@
             timer.expires_after(m_delay);
             co_await timer.async_wait(as_result);
         }
+        if (m_rate > 0) {
+            timer.expires_after(reserve(size, to_target) - monotonic_now());
+            co_await timer.async_wait(as_result);
+        }
         const auto [broken, written] =
             co_await asio::async_write(to, asio::buffer(bytes.data(), size), as_result);
         if (broken) {
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <array>
 #include <memory>
 #include <random>
 #include <set>
@@ -31,11 +32,16 @@
     /// after the link has healed.
     auto set(link_mode mode, duration delay = {}, duration backlog = {}) -> void;
 
+    /// Limits each direction of the link, all connections together, to so many bytes per second.
+    auto set_rate(double bytes_per_second) -> void { m_rate = bytes_per_second; }
+
 private:
     struct session;
 
     auto accept() -> boost::asio::awaitable<void>;
     auto pump(std::shared_ptr<session> through, bool to_target) -> boost::asio::awaitable<void>;
+    /// When bytes of this number have passed the link in one direction.
+    auto reserve(std::size_t size, bool to_target) -> instant;
 
     boost::asio::io_context& m_context;
     endpoint m_to;
@@ -45,6 +51,8 @@
     duration m_delay{};
     duration m_backlog{};
     std::minstd_rand m_random; ///< Draws the times within the backlog.
+    double m_rate = 0;         ///< In bytes per second; 0: unlimited.
+    std::array<instant, 2> m_busy_until{};
 };
 
 } // namespace teaselcross::soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -37,6 +37,8 @@
 constexpr auto heartbeat = duration{std::chrono::milliseconds{870}};
 constexpr auto lapse = heartbeat * 3; ///< Silence after which a target's entry is removed.
 constexpr auto start_up = duration{std::chrono::seconds{8}};
+/// Of instances that are short of room; the other targets hold keys.
+constexpr auto unkeyed_targets = std::size_t{6};
 /// Sorts among the names of targets, instances and data centres.
 constexpr auto foreign_prefix = "f";
 
@@ -54,7 +56,7 @@
       m_targets{m_context, m_store, m_seen, drain_bound, m_options.seed} {
     std::filesystem::create_directories(m_options.directory);
     for (std::size_t index = 0; index < m_options.targets; ++index) {
-        const auto keyed = index % 3 == 0;
+        const auto keyed = index % 3 == 0 || (is_short_of_room() && index >= unkeyed_targets);
         const auto own = address(static_cast<std::uint16_t>(target_port + index));
         const auto listed = address(static_cast<std::uint16_t>(target_port + 1000 + index));
         m_targets.add({.id = "i-" + std::to_string(index),
@@ -62,7 +64,8 @@
                        .data_centre = data_centres[index % data_centres.size()],
                        .own = own,
                        .listed = listed,
-                       .keyed = keyed});
+                       .keyed = keyed,
+                       .announces_changes_only = is_short_of_room()});
         m_target_links.push_back(std::make_unique<proxy>(m_context, listed, own));
     }
     for (std::size_t index = 0; index < m_options.instances; ++index) {
@@ -80,8 +83,10 @@
     m_seen.in_touch_from.resize(m_options.instances);
     m_seen.lives.resize(m_options.instances);
     m_disturbances.resize(m_options.instances);
-    m_callers = std::make_unique<callers>(m_context, m_fronts, m_seen,
-                                          caller_options{.has_accounts = has_accounts()}, m_options.seed);
+    m_callers = std::make_unique<callers>(
+        m_context, m_fronts, m_seen,
+        caller_options{.has_accounts = has_accounts(), .has_quick_changes = is_short_of_room()},
+        m_options.seed);
 }
 
 soak::~soak() {
@@ -156,6 +161,9 @@
             rules.back()["public"] = true;
         }
     }
+    for (std::size_t index = 0; index < m_added_routes; ++index) {
+        rules.push_back(rule("/added-" + std::to_string(index) + "/", "bulk", "download"));
+    }
     auto config = json{{"version", m_version},
                        {"listeners", json::array({{{"host", "soak.example"}, {"rules", std::move(rules)}}})},
                        {"clusters", clusters},
@@ -167,6 +175,7 @@
     m_seen.earlier_config_version = m_seen.config_version;
     m_seen.config_version = m_version;
     m_seen.config_written_at = monotonic_now();
+    m_seen.config_times.emplace_back(m_version, m_seen.config_written_at);
 }
 
 auto soak::launch(std::size_t instance) -> void {
@@ -196,6 +205,7 @@
 
 auto soak::end(process& ended) -> void {
     if (ended.pid > 0) {
+        m_processor_limit.remove(ended.pid);
         ::kill(ended.pid, SIGCONT);
         ::kill(ended.pid, SIGKILL);
         ::waitpid(ended.pid, nullptr, 0);
@@ -242,22 +252,30 @@
 }
 
 auto soak::play() -> asio::awaitable<void> {
-    constexpr auto kinds = 10U;
     co_await pause(start_up);
     tell("faults begin");
     const auto until = monotonic_now() +
                        std::chrono::duration_cast<duration>(std::chrono::duration<double>(m_options.seconds));
+    spawn(m_context, watch_owners());
+    if (is_short_of_room()) {
+        co_await play_short_of_room(until);
+    } else {
+        co_await play_faults(until);
+    }
+    co_await finish();
+}
+
+auto soak::play_faults(instant until) -> asio::awaitable<void> {
+    constexpr auto kinds = 10U;
     spawn(m_context, restores(until));
     spawn(m_context, suspensions(until));
     spawn(m_context, late_reading(until));
     spawn(m_context, cuts(until));
     spawn(m_context, late_orders(until));
-    spawn(m_context, watch_owners());
     while (monotonic_now() < until) {
         spawn(m_context, series(static_cast<int>(m_random() % kinds)));
         co_await pause(seconds(0.4, 3));
     }
-    co_await finish();
 }
 
 auto soak::finish() -> asio::awaitable<void> {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -5,6 +5,7 @@
 
 #include "accounts.h"
 #include "callers.h"
+#include "processor_limit.h"
 #include "proxy.h"
 #include "store.h"
 #include "targets.h"
@@ -35,6 +36,9 @@
 /// heartbeats are held up, too.
 constexpr auto first_seed_with_very_long_delays = std::uint64_t{5000};
 constexpr auto very_long_delay = duration{std::chrono::seconds{30}};
+/// From here on instances are short of processor time and of bandwidth to the store, and most targets hold
+/// keys.
+constexpr auto first_seed_short_of_room = std::uint64_t{8000};
 enum class delay_kind : std::uint64_t { cut_off, late_reading, late_orders, all };
 /// Orders that get no answer are carried out so much later, by the platform's pages.
 constexpr auto most_carried_out_late = duration{std::chrono::seconds{12}};
@@ -83,8 +87,11 @@
     /// Time of a planned stop; some seeds have another one than the program's default.
     auto grace() const -> duration { return std::chrono::seconds{m_options.seed % 7 == 2 ? 10 : 6}; }
     /// From seed 6000 on, an instance has room for few overdue connections only.
-    auto file_limit() const -> int { return m_options.seed >= 6000 ? 320 : 4100; }
-    auto has_accounts() const -> bool { return m_options.seed >= first_seed_with_accounts; }
+    auto file_limit() const -> int { return m_options.seed >= 6000 && !is_short_of_room() ? 320 : 4100; }
+    auto is_short_of_room() const -> bool { return m_options.seed >= first_seed_short_of_room; }
+    auto has_accounts() const -> bool {
+        return m_options.seed >= first_seed_with_accounts && !is_short_of_room();
+    }
     auto write_settings(std::size_t index) -> void;
     auto write_config() -> void;
     auto put_foreign_entries() -> void;
@@ -92,6 +99,12 @@
     auto end(process& ended) -> void;
     auto heartbeats() -> boost::asio::awaitable<void>;
     auto play() -> boost::asio::awaitable<void>;
+    auto play_faults(instant until) -> boost::asio::awaitable<void>;
+    auto play_short_of_room(instant until) -> boost::asio::awaitable<void>;
+    auto config_storm(instant until) -> boost::asio::awaitable<void>;
+    auto silence_targets(link_mode mode, duration length) -> boost::asio::awaitable<void>;
+    /// The store refuses the controller until another instance has taken over.
+    auto replace_controller() -> boost::asio::awaitable<void>;
     auto series(int kind) -> boost::asio::awaitable<void>;
     auto one_fault(int kind) -> boost::asio::awaitable<void>;
     /// The instance is disturbed from now on, until settle() starts its time of rest.
@@ -147,10 +160,12 @@
     target_group m_targets;
     std::vector<std::unique_ptr<proxy>> m_target_links;
     std::vector<process> m_processes;
+    processor_limit m_processor_limit;
     std::vector<front> m_fronts;
     std::unique_ptr<callers> m_callers;
     std::uint64_t m_version = 0;
     std::vector<std::uint64_t> m_versions; ///< All that were written; each has added a route.
+    std::size_t m_added_routes = 0;        ///< Further routes of each version, which nobody asks for.
     std::vector<int> m_disturbances;       ///< Faults that are on, by instance.
     int m_faults_now = 0;
     bool m_playing = true;
--- a/tests/soak/suspensions.cpp
+++ b/tests/soak/suspensions.cpp
@@ -10,14 +10,19 @@
 
 namespace {
 
+/// Of each pair of targets.
 constexpr auto check_interval = duration{std::chrono::milliseconds{10}};
+/// The same with hundreds of targets, whose pairs take long to check.
+constexpr auto check_interval_of_many = duration{std::chrono::milliseconds{200}};
+constexpr auto many_targets = std::size_t{200};
 
 } // namespace
 
 auto soak::watch_owners() -> asio::awaitable<void> {
+    const auto has_many = m_targets.all().size() >= many_targets;
     while (true) {
         m_targets.check_overlaps(monotonic_now());
-        co_await pause(check_interval);
+        co_await pause(has_many ? check_interval_of_many : check_interval);
     }
 }
 
--- a/tests/soak/targets.cpp
+++ b/tests/soak/targets.cpp
@@ -100,16 +100,23 @@
 }
 
 auto target::announce() -> void {
-    m_group.registry().put(platform::kinds::targets, m_options.id,
-                           {{"service", m_options.service},
-                            {"address", m_options.listed.host + ":" + std::to_string(m_options.listed.port)},
-                            {"zone", m_options.data_centre},
-                            {"version", "v1"},
-                            {"slots", m_options.slots},
-                            {"state", m_leaving_since ? "draining" : "ready"},
-                            {"cold-remaining-s", 0},
-                            {"sequence", ++m_sequence},
-                            {"born", m_birth}});
+    ++m_sequence;
+    auto entry =
+        nlohmann::json{{"service", m_options.service},
+                       {"address", m_options.listed.host + ":" + std::to_string(m_options.listed.port)},
+                       {"zone", m_options.data_centre},
+                       {"version", "v1"},
+                       {"slots", m_options.slots},
+                       {"state", m_leaving_since ? "draining" : "ready"},
+                       {"cold-remaining-s", 0},
+                       {"born", m_birth}};
+    if (m_options.announces_changes_only && entry == m_announced &&
+        !m_group.registry().spec(std::string{platform::kinds::targets} + "/" + m_options.id).is_null()) {
+        return;
+    }
+    m_announced = entry;
+    entry["sequence"] = m_sequence;
+    m_group.registry().put(platform::kinds::targets, m_options.id, std::move(entry));
 }
 
 auto target::holds(shard_key first, shard_key last, instant now, bool excused_too) const -> bool {
--- a/tests/soak/targets.h
+++ b/tests/soak/targets.h
@@ -28,6 +28,8 @@
     endpoint own;    ///< Where it listens.
     endpoint listed; ///< Where instances reach it, through a proxy.
     bool keyed = false;
+    /// Its entry is written again only if more than its sequence number has changed.
+    bool announces_changes_only = false;
     std::uint32_t slots = 4;
     std::uint32_t queue = 16;
     duration work = std::chrono::milliseconds{15};
@@ -133,6 +135,7 @@
     std::uint64_t m_birth = 0;
     std::uint64_t m_life = 0;
     std::uint64_t m_sequence = 0;
+    nlohmann::json m_announced; ///< Without the sequence number.
     std::uint32_t m_running = 0;
     std::uint32_t m_waiting = 0;
     double m_slowness = 1;
