Two classes named teaselcross::controller

Cause: the gateway's controller and the one of the library's earlier ownership protocol have the same name and are linked into one program. Implicit members of both are the same symbol (ODR, [basic.def.odr]), so one of them runs for both. The tests' program showed it as soon as a test destroyed the gateway's: 47 tests of the library crashed in a destructor of the other class (trial). Change: the gateway's is gateway_controller. No change in behaviour.

--- a/src/teaselcross/gateway/controller.cpp
+++ b/src/teaselcross/gateway/controller.cpp
@@ -28,9 +28,9 @@
 
 } // namespace
 
-controller::controller(const gateway_settings& settings, cluster_state& cluster, store_access& store,
-                       request_router& router, metrics& measured, asio::any_io_executor executor,
-                       std::uint64_t start_time_ms)
+gateway_controller::gateway_controller(const gateway_settings& settings, cluster_state& cluster,
+                                       store_access& store, request_router& router, metrics& measured,
+                                       asio::any_io_executor executor, std::uint64_t start_time_ms)
     : m_settings{settings}, m_cluster{cluster}, m_store{store}, m_router{router}, m_measured{measured},
       m_executor{executor}, m_start_time_ms{start_time_ms},
       m_order_pool{executor,
@@ -50,11 +50,11 @@
     m_lease.options = m_options.lease;
 }
 
-auto controller::self() const -> instance_id {
+auto gateway_controller::self() const -> instance_id {
     return instance_id{m_settings.instance + "#" + std::to_string(m_start_time_ms)};
 }
 
-auto controller::run() -> asio::awaitable<void> {
+auto gateway_controller::run() -> asio::awaitable<void> {
     while (!m_stopping) {
         if (m_is_controller) {
             co_await control();
@@ -66,7 +66,7 @@
     }
 }
 
-auto controller::holder() const -> std::optional<instance_record> {
+auto gateway_controller::holder() const -> std::optional<instance_record> {
     if (!m_lease.last_known || m_lease.last_known->holder.empty()) {
         return std::nullopt;
     }
@@ -78,12 +78,12 @@
     return std::nullopt;
 }
 
-auto controller::holder_address() const -> std::optional<endpoint> {
+auto gateway_controller::holder_address() const -> std::optional<endpoint> {
     const auto found = holder();
     return found ? std::optional{found->internal} : std::nullopt;
 }
 
-auto controller::key_map_writer() const -> std::optional<instance_record> {
+auto gateway_controller::key_map_writer() const -> std::optional<instance_record> {
     const auto found = holder();
     if (found && found->name == m_settings.instance) {
         return m_is_controller && holds_lease(m_lease, monotonic_now()) ? found : std::nullopt;
@@ -92,7 +92,7 @@
     return answers ? found : std::nullopt;
 }
 
-auto controller::send_report() -> asio::awaitable<void> {
+auto gateway_controller::send_report() -> asio::awaitable<void> {
     const auto address = holder_address();
     if (!address || m_lease.last_known->holder == m_lease.self) {
         co_return;
@@ -127,7 +127,7 @@
     }
 }
 
-auto controller::control() -> asio::awaitable<void> {
+auto gateway_controller::control() -> asio::awaitable<void> {
     m_term_start = monotonic_now();
     auto next_sample = m_term_start;
     auto next_tick = m_term_start;
@@ -167,7 +167,7 @@
     }
 }
 
-auto controller::on_report(const std::string& body) -> std::string {
+auto gateway_controller::on_report(const std::string& body) -> std::string {
     if (!m_is_controller) {
         return {};
     }
@@ -192,7 +192,7 @@
     return answer.dump();
 }
 
-auto controller::stop() -> asio::awaitable<void> {
+auto gateway_controller::stop() -> asio::awaitable<void> {
     m_stopping = true;
     if (!m_is_controller) {
         co_return;
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -73,11 +73,11 @@
     instant earlier_ended{};  ///< From when on no earlier controller may send orders.
 };
 
-class controller {
+class gateway_controller {
 public:
-    controller(const gateway_settings& settings, cluster_state& cluster, store_access& store,
-               request_router& router, metrics& measured, boost::asio::any_io_executor executor,
-               std::uint64_t start_time_ms);
+    gateway_controller(const gateway_settings& settings, cluster_state& cluster, store_access& store,
+                       request_router& router, metrics& measured, boost::asio::any_io_executor executor,
+                       std::uint64_t start_time_ms);
 
     /// Campaigns for the lease, acts as controller while holding it, and otherwise reports to the holder.
     /// Returns after stop().
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -38,14 +38,14 @@
 } // namespace
 
 /// Applies what another instance was told by targets that are leaving.
-auto controller::apply_leaving(const json& document, instant now) -> void {
+auto gateway_controller::apply_leaving(const json& document, instant now) -> void {
     const auto notices = document.value("leaving", json::array()); // Earlier builds send none.
     for (const auto& notice : leaving_notices_from_json(notices)) {
         m_cluster.set_leaving(notice, "instance", now);
     }
 }
 
-auto controller::make_grant_options() const -> range_grantor_options {
+auto gateway_controller::make_grant_options() const -> range_grantor_options {
     auto options = range_grantor_options{};
     options.grant_term = std::min(options.grant_term, m_settings.max_grant_hold);
     options.renewal_interval =
@@ -53,7 +53,7 @@
     return options;
 }
 
-auto controller::load_key_maps() -> asio::awaitable<bool> {
+auto gateway_controller::load_key_maps() -> asio::awaitable<bool> {
     const auto routes = m_cluster.routes();
     const auto term = m_term;
     for (const auto& [service, policy] : routes->services) {
@@ -79,7 +79,7 @@
 
 /// Reads the recorded key map of @a service, which is empty if there is none. Returns nothing when the store
 /// does not answer or the record cannot be parsed.
-auto controller::read_key_map(const service_id& service) -> asio::awaitable<std::optional<key_map>> {
+auto gateway_controller::read_key_map(const service_id& service) -> asio::awaitable<std::optional<key_map>> {
     auto call = store_call{.kind = store_call_kind::get,
                            .key = std::string{platform::kinds::key_maps} + "/" + service.value()};
     const auto reply = co_await m_store.call_directly(std::move(call));
@@ -99,7 +99,8 @@
 
 /// Takes over the record of an earlier controller, or after a restore of the store writes this controller's
 /// own record anew.
-auto controller::take_over_keys(const service_id& service, service_control& state, key_map recorded) -> void {
+auto gateway_controller::take_over_keys(const service_id& service, service_control& state, key_map recorded)
+    -> void {
     const auto now = monotonic_now();
     const auto version = recorded.revision;
     if (state.loaded && state.grantor.owns_record) {
@@ -126,7 +127,7 @@
                           now + max_remaining_hold(state.grantor.options), now);
 }
 
-auto controller::tick(instant now) -> void {
+auto gateway_controller::tick(instant now) -> void {
     for (auto& [service, state] : m_services) {
         if (state.loaded && m_cluster.policy(service).keyed) {
             tick_service(service, state, now);
@@ -134,7 +135,8 @@
     }
 }
 
-auto controller::tick_service(const service_id& service, service_control& state, instant now) -> void {
+auto gateway_controller::tick_service(const service_id& service, service_control& state, instant now)
+    -> void {
     auto& grantor = state.grantor;
     state.last_tick = now;
     refresh_holders(service, state, now);
@@ -172,7 +174,7 @@
     }
 }
 
-auto controller::schedule_tick(const service_id& service) -> void {
+auto gateway_controller::schedule_tick(const service_id& service) -> void {
     auto& state = m_services[service];
     if (!std::exchange(state.is_tick_scheduled, true)) {
         const auto delay = state.last_tick + m_options.min_tick_interval - monotonic_now();
@@ -181,7 +183,7 @@
     }
 }
 
-auto controller::run_scheduled_tick(service_id service, std::uint64_t term, duration delay)
+auto gateway_controller::run_scheduled_tick(service_id service, std::uint64_t term, duration delay)
     -> asio::awaitable<void> {
     co_await sleep_for(delay);
     const auto found = m_services.find(service);
@@ -195,7 +197,8 @@
     }
 }
 
-auto controller::refresh_holders(const service_id& service, service_control& state, instant now) -> void {
+auto gateway_controller::refresh_holders(const service_id& service, service_control& state, instant now)
+    -> void {
     auto holders = std::map<target_id, key_holder>{};
     for (const auto& [id, known] : m_cluster.targets()) {
         const auto& listed = known->view.listed;
@@ -217,7 +220,7 @@
     set_holders(state.grantor, std::move(holders));
 }
 
-auto controller::balance(const service_id& service, service_control& state, instant now) -> void {
+auto gateway_controller::balance(const service_id& service, service_control& state, instant now) -> void {
     auto& grantor = state.grantor;
     for (auto& rates : state.rates) {
         decay(rates, now);
@@ -239,7 +242,7 @@
     }
 }
 
-auto controller::execute_order(service_id service, holder_command order, std::uint64_t term)
+auto gateway_controller::execute_order(service_id service, holder_command order, std::uint64_t term)
     -> asio::awaitable<void> {
     if (order.behind != 0) {
         co_await send_behind_grant(std::move(order));
@@ -308,7 +311,8 @@
     }
 }
 
-auto controller::write_key_map(service_id service, key_map map, std::uint64_t term) -> asio::awaitable<void> {
+auto gateway_controller::write_key_map(service_id service, key_map map, std::uint64_t term)
+    -> asio::awaitable<void> {
     const auto call =
         store_call{.kind = map.revision.number == 0 ? store_call_kind::create : store_call_kind::update,
                    .key = std::string{platform::kinds::key_maps} + "/" + service.value(),
@@ -359,7 +363,7 @@
     }
 }
 
-auto controller::make_report() -> json {
+auto gateway_controller::make_report() -> json {
     auto keys = json::object();
     for (const auto& [service, counts] : m_router.take_sample().key_requests) {
         auto list = json::array();
@@ -380,7 +384,7 @@
             {"leaving", to_json(m_cluster.leaving_notices())}};
 }
 
-auto controller::apply_report(const json& report, instant now) -> void {
+auto gateway_controller::apply_report(const json& report, instant now) -> void {
     constexpr auto smoothing = 0.1; // Weight of one instance's report on a target's service time.
     for (const auto& [service, counts] : report.at("keys").items()) {
         for (auto& rates : m_services[service_id{service}].rates) {
--- a/src/teaselcross/gateway/controller_lease.cpp
+++ b/src/teaselcross/gateway/controller_lease.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-auto controller::read_lease() -> asio::awaitable<bool> {
+auto gateway_controller::read_lease() -> asio::awaitable<bool> {
     auto call = store_call{.kind = store_call_kind::get, .key = platform::kinds::controller_lease};
     const auto reply = co_await m_store.call_directly(std::move(call));
     const auto now = monotonic_now();
@@ -60,7 +60,7 @@
     co_return true;
 }
 
-auto controller::write_lease(lease_write write) -> asio::awaitable<bool> {
+auto gateway_controller::write_lease(lease_write write) -> asio::awaitable<bool> {
     auto call = store_call{.kind = write.expected_version.number == 0 ? store_call_kind::create
                                                                       : store_call_kind::update,
                            .key = platform::kinds::controller_lease,
@@ -76,7 +76,7 @@
     co_return false;
 }
 
-auto controller::campaign() -> asio::awaitable<void> {
+auto gateway_controller::campaign() -> asio::awaitable<void> {
     const auto holder_answers = monotonic_now() - m_last_holder_answer < m_options.holder_timeout;
     const auto known_holder =
         m_lease.last_known && !m_lease.last_known->holder.empty() && m_last_holder_answer != instant{};
@@ -111,7 +111,7 @@
     }
 }
 
-auto controller::set_earliest_move(instant from) -> void {
+auto gateway_controller::set_earliest_move(instant from) -> void {
     m_earliest_move = from;
     m_lease.is_settled = m_lease.is_settled && from <= monotonic_now();
     for (auto& [service, state] : m_services) {
@@ -119,7 +119,7 @@
     }
 }
 
-auto controller::await_unknown_controllers(instant now) -> void {
+auto gateway_controller::await_unknown_controllers(instant now) -> void {
     const auto limit =
         now + m_options.lease.term + m_options.lease_overrun + max_remaining_hold(make_grant_options());
     const auto bound = std::min(limit, m_acknowledged_bound.value_or(limit));
@@ -127,7 +127,8 @@
     set_earliest_move(std::max(m_earliest_move, bound));
 }
 
-auto controller::begin_term(std::optional<lease_object> before, bool is_lost) -> asio::awaitable<void> {
+auto gateway_controller::begin_term(std::optional<lease_object> before, bool is_lost)
+    -> asio::awaitable<void> {
     ++m_term;
     m_services.clear();
     m_next_renewal = monotonic_now() + m_options.lease.renewal_interval;
@@ -169,7 +170,7 @@
 }
 
 /// Announces this instance as holder of the lease that was written last.
-auto controller::announce_to_all() -> void {
+auto gateway_controller::announce_to_all() -> void {
     m_announced_to.clear();
     m_acknowledged_by.clear();
     m_acknowledged_fleet = 0;
@@ -178,7 +179,7 @@
 }
 
 /// Announces it to the instances that were not known before.
-auto controller::announce_to_others() -> void {
+auto gateway_controller::announce_to_others() -> void {
     for (const auto& each : m_cluster.instances()) {
         if (each.name != m_settings.instance && m_announced_to.insert(each.name).second) {
             asio::co_spawn(m_executor, announce_to(each, m_term, m_era), asio::detached);
@@ -187,7 +188,8 @@
 }
 
 /// Repeats the resignation request until the previous controller is known to have stopped.
-auto controller::retry_resignation_request(instance_id holder, std::uint64_t term) -> asio::awaitable<void> {
+auto gateway_controller::retry_resignation_request(instance_id holder, std::uint64_t term)
+    -> asio::awaitable<void> {
     while (m_is_controller || m_term == term) {
         co_await sleep_for(m_options.report_interval);
         const auto now = monotonic_now();
@@ -204,19 +206,19 @@
     }
 }
 
-auto controller::is_majority(std::size_t count) const -> bool {
+auto gateway_controller::is_majority(std::size_t count) const -> bool {
     const auto fleet = std::max(m_cluster.quorum_fleet(monotonic_now()).value_or(0), m_acknowledged_fleet);
     // One more than a simple majority, because two instances may know slightly different fleets.
     return fleet > 0 && 2 * count > fleet + 1;
 }
 
-auto controller::has_majority_reports(instant now) const -> bool {
+auto gateway_controller::has_majority_reports(instant now) const -> bool {
     return is_majority(count_recent_reports(m_reports, m_options.report_validity, now) + 1);
 }
 
 /// Announces the new term to @a peer until it answers. Once a majority has acknowledged it, reports to any
 /// earlier controller run out soon.
-auto controller::announce_to(instance_record peer, std::uint64_t term, std::uint64_t era)
+auto gateway_controller::announce_to(instance_record peer, std::uint64_t term, std::uint64_t era)
     -> asio::awaitable<void> {
     while (m_is_controller && m_term == term && m_era == era && m_lease.last_known) {
         auto request =
@@ -245,7 +247,7 @@
     }
 }
 
-auto controller::on_controller_announcement(const std::string& body) -> std::string {
+auto gateway_controller::on_controller_announcement(const std::string& body) -> std::string {
     try {
         const auto object = lease_object_from_json(json::parse(body));
         const auto is_new = !m_lease.last_known || is_earlier(*m_lease.last_known, object);
@@ -265,7 +267,7 @@
     return fleet ? std::to_string(*fleet) : std::string{};
 }
 
-auto controller::request_resignation(instance_id holder) -> asio::awaitable<resignation> {
+auto gateway_controller::request_resignation(instance_id holder) -> asio::awaitable<resignation> {
     auto address = std::optional<endpoint>{};
     for (const auto& each : m_cluster.instances()) {
         if (each.name == instance_of(holder)) {
@@ -284,7 +286,7 @@
     co_return value_in<resignation>(resignation_names, answer->body()).value_or(resignation::unknown);
 }
 
-auto controller::is_grant_state_certain(instant now) const -> bool {
+auto gateway_controller::is_grant_state_certain(instant now) const -> bool {
     if (m_grants_in_flight > 0 || m_era != m_store.era() || !m_lease.is_settled) {
         return false;
     }
@@ -302,7 +304,7 @@
     return now >= m_earliest_move;
 }
 
-auto controller::settle_lease(instant now) -> void {
+auto gateway_controller::settle_lease(instant now) -> void {
     if (m_lease.is_settled || m_era != m_store.era() || now < m_earliest_move) {
         return;
     }
@@ -319,7 +321,7 @@
     log::info("lease_settled", {{"term", m_term}, {"era", m_era}});
 }
 
-auto controller::on_resign_request(const std::string& body) -> std::string {
+auto gateway_controller::on_resign_request(const std::string& body) -> std::string {
     if (instance_of(instance_id{body}) != m_settings.instance) {
         return std::string{name_in(resignation_names, resignation::unknown)}; // It had this address before.
     }
@@ -334,7 +336,7 @@
     return std::string{name_in(resignation_names, clean ? resignation::clean : resignation::uncertain)};
 }
 
-auto controller::end_term(const char* reason) -> void {
+auto gateway_controller::end_term(const char* reason) -> void {
     if (!m_is_controller) {
         return;
     }
@@ -345,13 +347,13 @@
     m_lease.held_until.reset();
 }
 
-auto controller::may_send_orders(instant now) const -> bool {
+auto gateway_controller::may_send_orders(instant now) const -> bool {
     return m_is_controller && (holds_lease(m_lease, now) ||
                                (now < m_last_renewal + m_options.lease.term + m_options.lease_overrun &&
                                 has_majority_reports(now)));
 }
 
-auto controller::term(instant now) const -> std::optional<controller_term> {
+auto gateway_controller::term(instant now) const -> std::optional<controller_term> {
     if (!m_is_controller || !m_lease.last_known) {
         return std::nullopt;
     }
@@ -364,7 +366,7 @@
                            .earlier_ended = m_earliest_move - max_remaining_hold(make_grant_options())};
 }
 
-auto controller::renew_lease() -> asio::awaitable<void> {
+auto gateway_controller::renew_lease() -> asio::awaitable<void> {
     m_renewing = true;
     const auto term = m_term;
     auto readable = m_lease.is_up_to_date && m_lease.last_known_version.era == m_store.era();
--- a/src/teaselcross/gateway/controller_overdue.cpp
+++ b/src/teaselcross/gateway/controller_overdue.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-auto controller::keep_overdue_connection(overdue_connection kept) -> void {
+auto gateway_controller::keep_overdue_connection(overdue_connection kept) -> void {
     const auto oldest = m_overdue.add(std::move(kept));
     if (!oldest) {
         return;
@@ -35,7 +35,7 @@
 }
 
 /// Sends a release on the connection of the overdue grant that it follows.
-auto controller::send_behind_grant(holder_command release) -> asio::awaitable<void> {
+auto gateway_controller::send_behind_grant(holder_command release) -> asio::awaitable<void> {
     auto exchange = m_overdue.find(release.behind);
     if (exchange != nullptr && may_send_orders(monotonic_now())) {
         co_await grant_exchange::send_behind(std::move(exchange), std::move(release),
@@ -45,7 +45,7 @@
 
 /// Waits for the answer to a grant whose time limit has passed, and for those to the releases behind it,
 /// until the term ends.
-auto controller::await_overdue_grant(service_id service, holder_command order, holder_answer answer)
+auto gateway_controller::await_overdue_grant(service_id service, holder_command order, holder_answer answer)
     -> asio::awaitable<void> {
     const auto exchange = std::move(answer.overdue);
     const auto term = m_term;
@@ -78,7 +78,7 @@
     exchange->release_to(m_order_pool);
 }
 
-auto controller::abort_overdue_grants() -> void {
+auto gateway_controller::abort_overdue_grants() -> void {
     for (const auto& each : m_overdue.remove_all()) {
         each.exchange->abort();
     }
--- a/src/teaselcross/gateway/copy_refresh.h
+++ b/src/teaselcross/gateway/copy_refresh.h
@@ -12,7 +12,7 @@
 /// Not thread safe: use it on the event loop's thread only. All referenced objects must outlive it.
 class copy_refresh {
 public:
-    copy_refresh(const gateway_settings& settings, const controller& own_controller,
+    copy_refresh(const gateway_settings& settings, const gateway_controller& own_controller,
                  const std::vector<std::unique_ptr<store_follower>>& copies)
         : m_settings{settings}, m_controller{own_controller}, m_copies{copies} {}
 
@@ -27,7 +27,7 @@
     auto refresh_kind(store_follower& kind, refresh_source source) -> boost::asio::awaitable<bool>;
 
     const gateway_settings& m_settings;
-    const controller& m_controller;
+    const gateway_controller& m_controller;
     const std::vector<std::unique_ptr<store_follower>>& m_copies;
     /// Since when a copy has not been confirmed, for those that were logged as unconfirmed.
     std::map<std::string, std::optional<instant>> m_unconfirmed_since;
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -103,7 +103,7 @@
     store_access m_store;
     cluster_state_feed m_feed;
     request_router m_router;
-    controller m_controller;
+    gateway_controller m_controller;
     load_sharing m_sharing;
     quota_service m_quota_service;
     connection_pool m_quota_pool;
--- a/src/teaselcross/gateway/instance_gauges.h
+++ b/src/teaselcross/gateway/instance_gauges.h
@@ -16,7 +16,7 @@
     const memory_budget& answer_memory;
     const memory_budget& request_memory;
     const request_router& router;
-    const controller& own_controller;
+    const gateway_controller& own_controller;
     quota_client& quotas;
     const quota_service& quota_ledger;
     const load_sharing& sharing;
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -131,8 +131,9 @@
     }
 }
 
-peer_service::peer_service(const gateway_settings& settings, store_access& store, controller& own_controller,
-                           quota_service& quotas, load_sharing& sharing, metrics& measured)
+peer_service::peer_service(const gateway_settings& settings, store_access& store,
+                           gateway_controller& own_controller, quota_service& quotas, load_sharing& sharing,
+                           metrics& measured)
     : m_settings{settings}, m_store{store},
       m_controller{own_controller}, m_quotas{quotas}, m_sharing{sharing}, m_measured{measured} {}
 
--- a/src/teaselcross/gateway/peers.h
+++ b/src/teaselcross/gateway/peers.h
@@ -14,7 +14,7 @@
 /// Serves requests of other instances on the internal port, by path.
 class peer_service {
 public:
-    peer_service(const gateway_settings& settings, store_access& store, controller& own_controller,
+    peer_service(const gateway_settings& settings, store_access& store, gateway_controller& own_controller,
                  quota_service& quotas, load_sharing& sharing, metrics& measured);
 
     /// Serves the objects of @a follower to other instances; it must outlive this object.
@@ -28,7 +28,7 @@
 
     const gateway_settings& m_settings;
     store_access& m_store;
-    controller& m_controller;
+    gateway_controller& m_controller;
     quota_service& m_quotas;
     load_sharing& m_sharing;
     metrics& m_measured;
--- a/src/teaselcross/gateway/quota_access.cpp
+++ b/src/teaselcross/gateway/quota_access.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-auto ask_controller(const controller& own_controller, quota_service& own_service, connection_pool& pool,
-                    quota_query query) -> asio::awaitable<std::optional<quota_reply>> {
+auto ask_controller(const gateway_controller& own_controller, quota_service& own_service,
+                    connection_pool& pool, quota_query query) -> asio::awaitable<std::optional<quota_reply>> {
     if (own_controller.is_controller()) {
         co_return own_service.answer(query);
     }
@@ -25,7 +25,7 @@
 
 } // namespace
 
-auto make_quota_controller(const controller& own_controller, quota_service& own_service,
+auto make_quota_controller(const gateway_controller& own_controller, quota_service& own_service,
                            connection_pool& pool) -> quota_controller {
     return {.epoch = [&own_controller]() -> std::optional<quota_epoch> {
                 const auto& lease = own_controller.known_lease();
--- a/src/teaselcross/gateway/quota_access.h
+++ b/src/teaselcross/gateway/quota_access.h
@@ -17,7 +17,7 @@
 
 /// Queries go to the lease holder, or to @a own_service while this instance is the controller. All must
 /// outlive the result and its queries.
-auto make_quota_controller(const controller& own_controller, quota_service& own_service,
+auto make_quota_controller(const gateway_controller& own_controller, quota_service& own_service,
                            connection_pool& pool) -> quota_controller;
 
 } // namespace teaselcross
--- a/src/teaselcross/gateway/quota_service.cpp
+++ b/src/teaselcross/gateway/quota_service.cpp
@@ -47,7 +47,7 @@
 }
 
 quota_service::quota_service(const gateway_settings& settings, const cluster_state& cluster,
-                             const controller& own_controller)
+                             const gateway_controller& own_controller)
     : m_bounds{quota_bounds_of(settings)}, m_cluster{cluster}, m_controller{own_controller} {}
 
 auto quota_service::update_ledger(const controller_term& term, instant now) -> void {
--- a/src/teaselcross/gateway/quota_service.h
+++ b/src/teaselcross/gateway/quota_service.h
@@ -14,7 +14,7 @@
 public:
     /// The bounds of @a settings are read once. The references must outlive this object.
     quota_service(const gateway_settings& settings, const cluster_state& cluster,
-                  const controller& own_controller);
+                  const gateway_controller& own_controller);
 
     /// Answers the query @a body. Returns an empty string if this instance is not the controller, may not
     /// send orders, or has handled a later query.
@@ -31,7 +31,7 @@
 
     quota_bounds m_bounds;
     const cluster_state& m_cluster;
-    const controller& m_controller;
+    const gateway_controller& m_controller;
     std::optional<quota_ledger> m_ledger;
     std::uint64_t m_term = 0;                     ///< The controller's term that the ledger belongs to.
     std::shared_ptr<const route_table> m_applied; ///< The configuration in the ledger.
