Orders to targets that can't be given any crowd out everything else

Cause: a controller began an order for each range that was due, without a bound, and tried what could not be sent again after 0.12 to 0.25 s for each range: to targets whose former process is not listed any more, whose address refuses connections, that are cut off or suspended. Each order costs a connection or a probe, a coroutine and a log line. A process that is short of processor time falls behind with its own watches and those of the instances that follow it; being late makes connections and probes time out, which made targets "unresponsive" and moved their ranges: more orders. Change: orders to holders go through a window (order_window). Its limit follows the delay of the event loop by additive increase and multiplicative decrease (Chiu and Jain 1989). A target that has answered nothing for 0.3 s gets one order at a time. Those due for longest go first. While the loop is late, an order that was not sent is no failure of its target. A listed former holder that can't be reached is asked for one range at a time, as a missing one was already. What it is owed after a suspension is unchanged: it is asked four times a second. renewal_bursts_test counts the first grant of each range as its start, as the first ones no longer go out in one tick, and now measures the bursts of that time, too.

--- a/src/libteaselcross/ownership/holder_command.h
+++ b/src/libteaselcross/ownership/holder_command.h
@@ -40,6 +40,7 @@
     target_incarnation earlier_holder;   ///< Before this holder, if there was one.
     instant earlier_answered_at{};       ///< When that one last acknowledged a grant, if it did.
     move_proof proof = move_proof::none; ///< Why this holder could get the keys.
+    bool has_place = false;              ///< It is in the order window until it ends.
 };
 
 enum class command_result {
--- a/src/libteaselcross/ownership/overdue_answers.cpp
+++ b/src/libteaselcross/ownership/overdue_answers.cpp
@@ -57,6 +57,7 @@
         return;
     }
     state.responses[grant->holder.id].consecutive_failures = 0;
+    on_target_answered(state.window, grant->holder.id);
     const auto until = now + longest_term(state.options);
     for (const auto& range : ranges_with(state.map, grant->keys)) {
         const auto keys = overlap(range, grant->keys);
--- a/src/libteaselcross/ownership/range_grantor.cpp
+++ b/src/libteaselcross/ownership/range_grantor.cpp
@@ -14,6 +14,9 @@
 constexpr auto min_renewals_at_once = std::size_t{16};
 /// A renewal that has waited so long goes out with the others, however many there are.
 constexpr auto max_renewal_delay = duration{std::chrono::milliseconds{300}};
+/// The same while the process is short of time. The keys of a holder that answers then are still renewed
+/// before their term ends.
+constexpr auto max_renewal_delay_when_short = duration{std::chrono::milliseconds{900}};
 
 /// The proof that no command that was sent can still make the holder of @a range hold the keys, if there is
 /// one.
@@ -108,16 +111,29 @@
     return !state.unrecorded_intents.contains(range.next_fence);
 }
 
-/// The command that @a range needs now, if any. A renewal takes one of @a renewals_left, or waits.
-auto due_command(range_grantor& state, key_range& range, std::size_t& renewals_left, instant now)
-    -> std::optional<holder_command> {
-    if (range.is_moving() && is_intent_recorded(state, range) &&
-        !is_held_by_former(state.former, range, now)) {
-        if (const auto proof = find_proof(state, range, progress_of(state, range), now)) {
-            transfer_to_next(state, range, *proof, now);
-        }
+/// Lets the next holder have the keys of @a range once nobody else can hold them.
+auto transfer_if_free(range_grantor& state, key_range& range, instant now) -> void {
+    if (!range.is_moving() || !is_intent_recorded(state, range) ||
+        is_held_by_former(state.former, range, now)) {
+        return;
+    }
+    if (const auto proof = find_proof(state, range, progress_of(state, range), now)) {
+        transfer_to_next(state, range, *proof, now);
     }
-    auto& progress = progress_of(state, range);
+}
+
+/// A command that a range needs.
+struct due_command {
+    key_range* range = nullptr;
+    target_incarnation to;
+    command_kind kind = command_kind::grant;
+    instant since{};         ///< When it was due.
+    bool is_renewal = false; ///< Otherwise nobody has the keys, or they are to move.
+};
+
+/// The command that @a range needs now, if any.
+auto find_due_command(range_grantor& state, key_range& range, instant now) -> std::optional<due_command> {
+    const auto& progress = progress_of(state, range);
     if (progress.call_pending || now < progress.next_call_at) {
         return std::nullopt;
     }
@@ -130,9 +146,8 @@
             return std::nullopt;
         }
         // A process that replaced the holder's may have answered grants that were meant for that one.
-        progress.call_pending = true;
-        progress.release_requested = true;
-        return make_command(state, range, *process, command_kind::release, progress);
+        return due_command{
+            .range = &range, .to = *process, .kind = command_kind::release, .since = progress.next_call_at};
     }
     if (!progress.confirmed && is_held_by_former(state.former, range, now)) {
         return std::nullopt;
@@ -140,16 +155,63 @@
     if (progress.release_requested || *process != range.holder) {
         return std::nullopt; // The intent of a move is not recorded yet.
     }
-    if (progress.confirmed && renewals_left == 0 && now < progress.next_call_at + max_renewal_delay) {
-        return std::nullopt;
+    return due_command{.range = &range,
+                       .to = range.holder,
+                       .since = progress.next_call_at,
+                       .is_renewal = progress.confirmed};
+}
+
+/// The commands that ranges need, those first that have been due for longest.
+auto find_due_commands(range_grantor& state, instant now) -> std::vector<due_command> {
+    auto due = std::vector<due_command>{};
+    for (auto& range : state.map.ranges) {
+        if (state.unrecorded_intents.contains(range.fence)) {
+            continue;
+        }
+        transfer_if_free(state, range, now);
+        if (auto command = find_due_command(state, range, now)) {
+            due.push_back(std::move(*command));
+        }
     }
-    renewals_left -= progress.confirmed && renewals_left > 0 ? 1 : 0;
+    std::stable_sort(due.begin(), due.end(),
+                     [](const auto& left, const auto& right) { return left.since < right.since; });
+    return due;
+}
+
+/// Notes that @a due is sent, and returns it.
+auto begin_command(range_grantor& state, const due_command& due, instant now) -> holder_command {
+    auto& progress = progress_of(state, *due.range);
     progress.call_pending = true;
-    // The call may arrive as late as its timeout, and the term counts from its arrival.
-    progress.previous_may_hold_until = progress.may_hold_until;
-    progress.may_hold_until =
-        std::max(progress.may_hold_until, now + state.options.call_timeout + longest_term(state.options));
-    return make_command(state, range, range.holder, command_kind::grant, progress);
+    if (due.kind == command_kind::release) {
+        progress.release_requested = true;
+    } else {
+        // The call may arrive as late as its timeout, and the term counts from its arrival.
+        progress.previous_may_hold_until = progress.may_hold_until;
+        progress.may_hold_until =
+            std::max(progress.may_hold_until, now + state.options.call_timeout + longest_term(state.options));
+    }
+    auto command = make_command(state, *due.range, due.to, due.kind, progress);
+    command.has_place = true;
+    return command;
+}
+
+/// The commands of @a due for which there is room.
+auto begin_due_commands(range_grantor& state, const std::vector<due_command>& due, instant now)
+    -> std::vector<holder_command> {
+    auto commands = std::vector<holder_command>{};
+    auto renewals_left = std::max(min_renewals_at_once, state.map.ranges.size() / renewal_parts);
+    const auto max_delay = is_short_of_time(state.window) ? max_renewal_delay_when_short : max_renewal_delay;
+    for (const auto& each : due) {
+        const auto is_urgent = each.is_renewal && now >= each.since + max_delay;
+        if (each.is_renewal && renewals_left == 0 && !is_urgent) {
+            continue;
+        }
+        if (begin_order(state.window, each.to.id, is_urgent, now)) {
+            renewals_left -= each.is_renewal && renewals_left > 0 ? 1 : 0;
+            commands.push_back(begin_command(state, each, now));
+        }
+    }
+    return commands;
 }
 
 auto find_index(const range_grantor& state, shard_key key) -> std::size_t {
@@ -252,15 +314,7 @@
     if (!state.owns_record || state.record_lost) {
         return commands;
     }
-    auto renewals_left = std::max(min_renewals_at_once, state.map.ranges.size() / renewal_parts);
-    for (auto& range : state.map.ranges) {
-        if (state.unrecorded_intents.contains(range.fence)) {
-            continue;
-        }
-        if (auto command = due_command(state, range, renewals_left, now)) {
-            commands.push_back(std::move(*command));
-        }
-    }
+    commands = begin_due_commands(state, find_due_commands(state, now), now);
     auto behind = due_releases_behind(state.overdue, state.map, state.unrecorded_intents, now);
     // They are sent before the grants to the next holders.
     commands.insert(commands.begin(), std::make_move_iterator(behind.begin()),
@@ -278,6 +332,9 @@
                          const std::string& handover, instant sent, instant now) -> void {
     auto& holder = state.responses[command.to.id];
     const auto& options = state.options;
+    if (command.has_place) {
+        end_order(state.window, command.to.id, result, now);
+    }
     // A process that was suspended aborts its calls late, and a holder may read them later still.
     const auto latest_end =
         std::max(now, sent + options.call_timeout) + options.late_reading + longest_term(options);
@@ -292,9 +349,11 @@
         holder.has_failed_release = result != command_result::done;
     }
     if (command.kind == command_kind::grant) {
-        const auto succeeded = result == command_result::done;
+        // A process that is short of time ends calls that it has not got round to.
+        const auto has_failed = result != command_result::refused &&
+                                !(result == command_result::not_sent && is_short_of_time(state.window));
         holder.consecutive_failures =
-            succeeded ? 0 : holder.consecutive_failures + (result == command_result::refused ? 0 : 1);
+            result == command_result::done ? 0 : holder.consecutive_failures + (has_failed ? 1 : 0);
         if (result == command_result::unanswered) {
             holder.uncertain_until = std::max(holder.uncertain_until, latest_end);
         } else if (result == command_result::overdue) {
--- a/src/libteaselcross/ownership/range_grantor.h
+++ b/src/libteaselcross/ownership/range_grantor.h
@@ -15,6 +15,7 @@
 // See Gray and Cheriton, "Leases" (1989), and, for the fencing tokens, Burrows, "The Chubby lock service"
 // (2006).
 
+#include "ownership/order_window.h"
 #include "ownership/overdue_grants.h"
 #include "ownership/stale_grants.h"
 
@@ -91,6 +92,7 @@
     std::map<std::uint64_t, std::map<shard_key, range_progress>> progress; ///< By fence, then first key.
     std::map<target_id, key_holder> holders;
     std::map<target_id, holder_responses> responses;
+    order_window window;          ///< Limits the commands that are in flight.
     overdue_grants overdue;       ///< Grants whose answers are awaited beyond their time limit.
     stale_grants former;          ///< What former holders may still take for valid.
     instant taken_over_at{};      ///< When take_over() was called.
@@ -133,7 +135,8 @@
 /// per second by range index.
 auto start_evictions(range_grantor& state, const std::vector<double>& load, instant now) -> void;
 
-/// Returns the commands to send now. The caller reports the result of each with on_command_finished().
+/// Returns the commands to send now, as far as the window has room for them; those that have been due for
+/// longest go first. The caller reports the result of each with on_command_finished().
 auto due_commands(range_grantor& state, instant now) -> std::vector<holder_command>;
 
 /// Records the result of a command. @a sent is when the call began.
--- a/src/libteaselcross/ownership/range_takeover.cpp
+++ b/src/libteaselcross/ownership/range_takeover.cpp
@@ -14,6 +14,7 @@
     state.progress.clear();
     state.unrecorded_intents.clear();
     state.responses.clear();
+    state.window = {.options = state.window.options};
     state.overdue = {.options = state.overdue.options};
     resume_stale_grants(state.former, state.map.former_holdings, now);
     state.taken_over_at = now;
--- a/src/libteaselcross/ownership/stale_grants.cpp
+++ b/src/libteaselcross/ownership/stale_grants.cpp
@@ -166,10 +166,12 @@
         }
         const auto is_first = asked.insert(each.holder.id).second;
         const auto process = latest_process(present, each.holder);
-        if (!is_first && !each.is_reachable && !present.contains(process)) {
+        const auto is_listed = present.contains(process);
+        if (!is_first && !each.is_reachable && (!is_listed || each.was_listed)) {
             continue;
         }
         each.call_pending = true;
+        each.was_listed = is_listed;
         commands.push_back({.kind = command_kind::release,
                             .to = process,
                             .first = each.first,
--- a/src/libteaselcross/ownership/stale_grants.h
+++ b/src/libteaselcross/ownership/stale_grants.h
@@ -32,6 +32,7 @@
     instant watched_until{};
     std::uint32_t releases = 0; ///< Releases that the holder has acknowledged.
     bool is_reachable = true;   ///< Whether the last release could be sent to the holder.
+    bool was_listed = false;    ///< Whether it was, at the time of the last release.
     bool call_pending = false;
     /// A holder that has taken the grant late may hold the keys until then, unless it has released them
     /// since.
@@ -75,8 +76,8 @@
 /// Returns the releases to send now. @a present are the targets that exist, by their latest process, which
 /// may have taken what was meant for an earlier one and is asked in its place. Keys that a holder holds again
 /// by @a map are not asked for any more; the others of its range are. One that is missing may have been
-/// suspended until its entry lapsed; it is asked at its last address, and for one range at a time while it
-/// cannot be reached.
+/// suspended until its entry lapsed; it is asked at its last address. A holder that cannot be reached is
+/// asked for one range at a time until it is listed again.
 auto due_stale_releases(stale_grants& state, const key_map& map, const std::set<target_incarnation>& present,
                         instant now) -> std::vector<holder_command>;
 
--- a/src/teaselcross/gateway/controller.h
+++ b/src/teaselcross/gateway/controller.h
@@ -122,6 +122,8 @@
         copy_states copies; ///< The controller's copies of the store's objects.
     };
     auto last_confirmation() const -> const confirmation& { return m_last_confirmation; }
+    /// Paces the orders to targets by how late a timer of the event loop was.
+    auto note_loop_delay(duration delay) -> void;
     /// Sets the function that returns the states sent to other instances while this one is the controller.
     auto set_copy_source(std::function<copy_states()> source) -> void { m_copy_source = std::move(source); }
 
--- a/src/teaselcross/gateway/controller_keys.cpp
+++ b/src/teaselcross/gateway/controller_keys.cpp
@@ -174,6 +174,12 @@
     }
 }
 
+auto gateway_controller::note_loop_delay(duration delay) -> void {
+    for (auto& [service, state] : m_services) {
+        on_loop_delay(state.grantor.window, delay);
+    }
+}
+
 auto gateway_controller::schedule_tick(const service_id& service) -> void {
     auto& state = m_services[service];
     if (!std::exchange(state.is_tick_scheduled, true)) {
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -326,6 +326,7 @@
         const auto delay = std::max(now - due, duration::zero());
         m_measured.time(timing::event_loop_delay, delay);
         m_loop_watch.note(delay, work_so_far(), now);
+        m_controller.note_loop_delay(delay);
         m_cluster.remove_expired(now);
         m_router.log_shortages();
         log::flush_direct();
--- a/tests/ownership/renewal_bursts_test.cpp
+++ b/tests/ownership/renewal_bursts_test.cpp
@@ -36,8 +36,8 @@
     auto run(duration tick, shard_key failing_below = 0) -> void {
         for (const auto end = m_now + seconds{10}; m_now < end; m_now += tick) {
             const auto commands = due_commands(m_state, m_now);
-            const auto is_start = m_granted_at.empty();
             for (const auto& each : commands) {
+                const auto is_start = !m_granted_at.contains(each.first);
                 const auto is_failing = !is_start && each.first < failing_below;
                 on_command_finished(m_state, each,
                                     is_failing ? command_result::not_sent : command_result::done, "", m_now,
@@ -48,7 +48,7 @@
                     before = m_now;
                 }
             }
-            m_largest_burst = std::max(m_largest_burst, is_start ? 0 : commands.size());
+            m_largest_burst = std::max(m_largest_burst, commands.size());
         }
         for (const auto& [first, at] : m_granted_at) {
             m_longest_gap = std::max(m_longest_gap, first < failing_below ? duration{} : m_now - at);
--- a/tests/ownership/stale_grants_test.cpp
+++ b/tests/ownership/stale_grants_test.cpp
@@ -94,6 +94,27 @@
     EXPECT_EQ(due(now).size(), 9U) << "one that is listed again is asked for all";
 }
 
+// Guards against a controller that has no time for other work: a listed target whose address another one uses
+// now was asked for each of its ranges four times a second.
+TEST_F(stale_grants_test, listed_holder_that_cannot_be_reached_is_asked_for_one_range_at_a_time) {
+    add_ranges();
+    auto now = start;
+    for (const auto& each : due(now)) {
+        finish(each, command_result::not_sent, now);
+    }
+    for (auto tries = 0; tries < 5; ++tries) {
+        now += m_stale.options.release_interval;
+        const auto commands = due(now);
+        ASSERT_EQ(commands.size(), 1U);
+        finish(commands.front(), command_result::not_sent, now);
+    }
+    now += m_stale.options.release_interval;
+    const auto last = due(now);
+    ASSERT_EQ(last.size(), 1U);
+    finish(last.front(), command_result::done, now);
+    EXPECT_EQ(due(now + m_stale.options.release_interval).size(), 9U) << "it can be reached again";
+}
+
 TEST_F(stale_grants_test, missing_holder_that_can_be_reached_again_is_asked_for_all_ranges) {
     add_ranges();
     for (const auto& each : due(start, {owner})) {
--- a/tests/support/holder_explorer.cpp
+++ b/tests/support/holder_explorer.cpp
@@ -38,6 +38,10 @@
             add(index_of(id), each.consecutive_failures, each.has_failed_release, each.uncertain_until,
                 each.uncertain_until != instant{});
         }
+        add(state.window.in_flight, state.window.in_doubt, state.window.targets.size());
+        for (const auto& [id, each] : state.window.targets) {
+            add(index_of(id), each.in_flight, each.in_doubt, each.failures, each.failing_since, each.next_at);
+        }
         add(state.former.entries.size());
         for (const auto& each : state.former.entries) {
             add(each.holder);
