An instance behind a late relay or controller asks nobody else

Callers saw 404 for a confirmed route at a whole data centre while the store and the other data centres had it (CONFIG). Cause: an instance measured agreement with the controller, not age. While relay and controller are one late process, its followers have the same copy as it and ask nobody, however old that copy is. Unconfirmed kinds were refreshed one after the other, so that one slow answer held up targets, evacuations and key maps, too. One that hears that another has had a later copy for longer than changes need to spread fetches it there. Kinds are refreshed side by side.

--- a/src/libteaselcross/membership/cache_validation.h
+++ b/src/libteaselcross/membership/cache_validation.h
@@ -13,7 +13,10 @@
     bool controller_answered_recently = false;
     bool matches_controller = false; ///< The controller has the same versions.
     bool changed_recently = false;   ///< The copy changed recently, so a difference may be temporary.
-    bool follows_relay = false;      ///< Changes come from a relay, not from the store itself.
+    /// The copy was confirmed too long ago, by whomever: a controller that is late itself has the same old
+    /// copy.
+    bool is_unconfirmed = false;
+    bool follows_relay = false; ///< Changes come from a relay, not from the store itself.
 };
 
 enum class refresh_source {
@@ -25,9 +28,14 @@
 
 /// Thread safe.
 constexpr auto select_refresh_source(const cache_state& state) -> refresh_source {
+    const auto is_confirmed = state.matches_controller && !state.is_unconfirmed;
     if (state.controller_answered_recently && !state.is_controller) {
-        return state.matches_controller || state.changed_recently ? refresh_source::none
-                                                                  : refresh_source::controller;
+        if (is_confirmed || (state.changed_recently && !state.is_unconfirmed)) {
+            return refresh_source::none;
+        }
+        if (!state.matches_controller) {
+            return refresh_source::controller;
+        }
     }
     return state.follows_relay && !state.is_controller ? refresh_source::relay : refresh_source::store;
 }
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/cluster_state_feed.h"
+#include "gateway/copy_exchange.h"
 #include "gateway/copy_refresh.h"
 #include "gateway/graceful_stop.h"
 #include "gateway/instance_gauges.h"
@@ -114,7 +115,8 @@
     std::unique_ptr<http_server> m_internal;
     asio::signal_set m_signals;
     std::vector<std::unique_ptr<store_follower>> m_followers;
-    copy_refresh m_refresh{m_settings, m_controller, m_followers};
+    copy_exchange m_exchange{m_settings, m_cluster, m_followers, executor()};
+    copy_refresh m_refresh{m_settings, m_cluster, m_controller, m_exchange};
     loop_watch m_loop_watch;
     bool m_stopping = false;
     bool m_was_ready = false;
@@ -238,8 +240,9 @@
             spawn("registration", [this, &instances = *each] { return keep_registered(instances); });
         }
         spawn("follow_" + each->kind(), [&follower = *each] { return follower.run(); });
+        spawn("refresh_" + each->kind(), [this, &copy = *each] { return m_refresh.run(copy); });
     }
-    spawn("refresh", [this] { return m_refresh.run(); });
+    spawn("copy_exchange", [this] { return m_exchange.run(); });
 }
 
 auto gateway::copies() const -> copy_states {
@@ -285,6 +288,7 @@
     for (const auto& each : m_followers) {
         m_peers.add_follower(*each);
     }
+    m_peers.set_copy_exchange(m_exchange);
     spawn("start", [this] { return start_following(); });
 }
 
--- a/src/teaselcross/gateway/peers.cpp
+++ b/src/teaselcross/gateway/peers.cpp
@@ -168,6 +168,9 @@
         } else if (found != m_followers.end()) {
             response.body() = found->second->answer_comparison(query);
         }
+    } else if (target == copy_exchange_path && request.method() == http::verb::post &&
+               m_exchange != nullptr) {
+        response.body() = m_exchange->answer(request.body());
     } else if (target == controller_paths::report && request.method() == http::verb::post) {
         response.body() = m_controller.on_report(request.body());
     } else if (target == quota_path && request.method() == http::verb::post) {
--- a/src/teaselcross/gateway/peers.h
+++ b/src/teaselcross/gateway/peers.h
@@ -4,6 +4,7 @@
 // controller.
 
 #include "gateway/controller.h"
+#include "gateway/copy_exchange.h"
 #include "gateway/load_sharing.h"
 #include "gateway/quota_service.h"
 #include "gateway/request_router.h"
@@ -19,6 +20,8 @@
 
     /// Serves the objects of @a follower to other instances; it must outlive this object.
     auto add_follower(store_follower& follower) -> void { m_followers[follower.kind()] = &follower; }
+    /// Sets what handles the states of other instances' copies; it must outlive this object.
+    auto set_copy_exchange(copy_exchange& exchange) -> void { m_exchange = &exchange; }
 
     /// Handles one request on the internal port; to be passed to http_server as its handler.
     auto handle(responder& link, http_request request) -> boost::asio::awaitable<bool>;
@@ -33,6 +36,7 @@
     load_sharing& m_sharing;
     metrics& m_measured;
     std::map<std::string, store_follower*> m_followers; ///< By kind.
+    copy_exchange* m_exchange = nullptr;
 };
 
 /// Decodes the record of an instance in the store. Logs why a record cannot be used, and returns nothing.
--- a/src/teaselcross/gateway/store_follower.h
+++ b/src/teaselcross/gateway/store_follower.h
@@ -111,6 +111,7 @@
 
     auto kind() const -> const std::string& { return m_options.kind; }
     auto refresh_interval() const -> duration { return m_options.refresh_interval; }
+    auto batch_delay() const -> duration { return m_options.batch_delay; }
     auto state() const -> copy_state;
     auto listed() const -> bool { return m_listed; }
     /// Whether the copy contains the object @a key.
--- a/tests/membership/cache_validation_test.cpp
+++ b/tests/membership/cache_validation_test.cpp
@@ -34,5 +34,23 @@
     EXPECT_EQ(select_refresh_source({}), refresh_source::store);
 }
 
+// Guards against a change that is not in force in time: relay and controller were one late instance, and its
+// followers agreed with it on a copy that nobody had confirmed for ten seconds.
+TEST(cache_validation, an_old_copy_is_refreshed_although_the_controller_has_the_same) {
+    EXPECT_EQ(select_refresh_source({.controller_answered_recently = true,
+                                     .matches_controller = true,
+                                     .is_unconfirmed = true,
+                                     .follows_relay = true}),
+              refresh_source::relay);
+    EXPECT_EQ(select_refresh_source(
+                  {.controller_answered_recently = true, .matches_controller = true, .is_unconfirmed = true}),
+              refresh_source::store);
+    EXPECT_EQ(select_refresh_source({.controller_answered_recently = true,
+                                     .changed_recently = true,
+                                     .is_unconfirmed = true,
+                                     .follows_relay = true}),
+              refresh_source::controller);
+}
+
 } // namespace
 } // namespace teaselcross
