Small machines campaign for the lease like strong ones

Beyond the first three, instances campaign in groups by rank modulo eight, so the last group of all may go before strong instances. Change: the groups follow the rank, and instances with less than half of the capacity of the strongest follow after all groups of the others. What remains: one that has the lease keeps it when a stronger one comes; an instance may still be relay and controller at once. Measured: campaign_order_test.

--- a/src/teaselcross/gateway/cluster_state.cpp
+++ b/src/teaselcross/gateway/cluster_state.cpp
@@ -391,6 +391,16 @@
                                                   [&](const auto& each) { return ranking(each, *own); }));
 }
 
+auto cluster_state::strong_instances() const -> std::size_t {
+    auto strongest = 0.0;
+    for (const auto& each : m_instances) {
+        strongest = std::max(strongest, each.cpu_share);
+    }
+    return static_cast<std::size_t>(
+        std::count_if(m_instances.begin(), m_instances.end(),
+                      [&](const auto& each) { return each.cpu_share >= strongest / 2; }));
+}
+
 auto cluster_state::fleet_size() const -> std::size_t {
     return std::max<std::size_t>(m_instances.size(), 1);
 }
--- a/src/teaselcross/gateway/cluster_state.h
+++ b/src/teaselcross/gateway/cluster_state.h
@@ -125,6 +125,8 @@
     auto remove_instance(const std::string& name, instant now) -> void;
     /// Number of instances that are preferred to this one for @a purpose.
     auto rank_of_this_instance(std::string_view purpose) const -> std::size_t;
+    /// Number of instances with at least half of the CPU capacity of the strongest.
+    auto strong_instances() const -> std::size_t;
     /// Number of instances that share the limits, this one included; never 0.
     auto fleet_size() const -> std::size_t;
     /// Number of instances of which a majority is needed to act without the store. After a restore, instances
--- a/src/teaselcross/gateway/controller_lease.cpp
+++ b/src/teaselcross/gateway/controller_lease.cpp
@@ -4,6 +4,7 @@
 #include "gateway/controller.h"
 #include "gateway/peer_request.h"
 #include "logging/log.h"
+#include "membership/campaign_order.h"
 #include "platform/store.h"
 #include "runtime/clock.h"
 
@@ -23,10 +24,6 @@
 
 namespace {
 
-/// Number of instances that campaign for a free lease at once; the others defer to them for one lease term.
-constexpr auto max_active_candidates = std::size_t{3};
-/// The other instances read the lease in this many groups, one after the other.
-constexpr auto deferral_steps = std::size_t{8};
 /// The answer to the announcement of a holder when a later one is known.
 constexpr auto announcement_refused = "later holder known";
 
@@ -87,8 +84,10 @@
     // The first candidates read the lease at once; a new holder announces itself to all others, which read it
     // only when that takes too long.
     const auto rank = m_cluster.rank_of_this_instance("controller");
-    const auto deferral = m_options.lease.term * 2 + m_options.report_interval * (rank % deferral_steps);
-    if (rank >= max_active_candidates && monotonic_now() - m_without_holder_since < deferral) {
+    const auto options = campaign_options{.first_deferral = m_options.lease.term * 2,
+                                          .group_interval = m_options.report_interval};
+    const auto deferral = campaign_deferral(options, rank, m_cluster.strong_instances());
+    if (monotonic_now() - m_without_holder_since < deferral) {
         co_return;
     }
     const auto was_read = co_await read_lease();
@@ -100,7 +99,7 @@
     m_lease.is_settled = false; // Also if a renewal of the term before is acknowledged only now.
     const auto was_this_instance = before && instance_of(before->holder) == m_settings.instance;
     const auto write =
-        next_lease_write(m_lease, rank < max_active_candidates, was_this_instance, monotonic_now());
+        next_lease_write(m_lease, rank < options.active_candidates, was_this_instance, monotonic_now());
     if (!write) {
         co_return;
     }
