Each version of the configuration goes whole to each instance

Callers saw 404 for a confirmed route at instances of 10 Mbit/s and a tenth of a core (CONFIG). Cause: a relay sent each of its 21 followers each version whole, 300 KB with 1,560 routes, which fills the link of a small instance for 0.25 s and its processor for longer, several times a second in a storm of changes. Change: relays send the difference to the version that the follower has, as a JSON Patch (RFC 6902), as they do for key maps already. A difference that doesn't apply is answered by asking for the whole. An invalid version is still a base.

--- a/src/teaselcross/gateway/cluster_state_feed.cpp
+++ b/src/teaselcross/gateway/cluster_state_feed.cpp
@@ -1,5 +1,7 @@
 #include "gateway/cluster_state_feed.h"
 
+#include "core/json_difference.h"
+#include "core/json_text.h"
 #include "gateway/peers.h"
 #include "logging/log.h"
 #include "platform/records.h"
@@ -12,6 +14,19 @@
 
 namespace teaselcross {
 
+namespace {
+
+/// Levels of a patch around the values in it.
+constexpr auto patch_depth = std::size_t{2};
+
+} // namespace
+
+/// The configuration as the store has it.
+struct cluster_state_feed::versioned_document {
+    store_revision version;
+    nlohmann::json document;
+};
+
 cluster_state_feed::cluster_state_feed(const gateway_settings& settings, cluster_state& cluster,
                                        const store_access& store)
     : m_settings{settings}, m_cluster{cluster}, m_store{store} {}
@@ -48,9 +63,54 @@
     if (object.key != platform::kinds::routes_object || object.removed) {
         return;
     }
-    auto parsed = platform::parse_routes(object.value);
+    m_routes_document.reset();
+    auto document = parse_json_within(object.value, platform::max_document_depth);
+    if (document.is_discarded()) {
+        log::warning("config_unusable",
+                     {{"revision", to_string(object.version)},
+                      {"fault", "malformed, nested too deeply or with a number out of range"}});
+        return;
+    }
+    m_routes_document =
+        std::make_shared<versioned_document>(versioned_document{object.version, std::move(document)});
+    apply_routes_document();
+}
+
+/// Returns false when the difference does not apply to the document that is known.
+auto cluster_state_feed::apply_routes_difference(const store_object& object, const store_revision& base)
+    -> bool {
+    if (object.key != platform::kinds::routes_object || !m_routes_document ||
+        m_routes_document->version != base) {
+        return false;
+    }
+    const auto patch = parse_json_within(object.value, platform::max_document_depth + patch_depth);
+    try {
+        m_routes_document->document.patch_inplace(patch);
+    } catch (const nlohmann::json::exception& fault) {
+        log::warning("config_difference_unusable",
+                     {{"revision", to_string(object.version)}, {"fault", fault.what()}});
+        m_routes_document.reset(); // Some operations may have been applied.
+        return false;
+    }
+    m_routes_document->version = object.version;
+    apply_routes_document();
+    return true;
+}
+
+/// The object of the store that holds the configuration.
+auto cluster_state_feed::stored_routes(const std::string& key) const -> std::optional<store_object> {
+    if (key != platform::kinds::routes_object || !m_routes_document) {
+        return std::nullopt;
+    }
+    return store_object{
+        .key = key, .version = m_routes_document->version, .value = m_routes_document->document.dump()};
+}
+
+auto cluster_state_feed::apply_routes_document() -> void {
+    const auto& version = m_routes_document->version;
+    auto parsed = platform::parse_routes(m_routes_document->document);
     if (!parsed) {
-        log::warning("config_unusable", {{"revision", to_string(object.version)}, {"fault", parsed.error()}});
+        log::warning("config_unusable", {{"revision", to_string(version)}, {"fault", parsed.error()}});
         return;
     }
     const auto limits = parsed->limits;
@@ -59,7 +119,7 @@
         return;
     }
     for (const auto& each : remarks) {
-        log::info("config_without_effect", {{"revision", to_string(object.version)}, {"place", each}});
+        log::info("config_without_effect", {{"revision", to_string(version)}, {"place", each}});
     }
     if (m_on_limits) {
         m_on_limits(limits);
@@ -67,7 +127,10 @@
 }
 
 auto cluster_state_feed::route_events() -> follower_events {
-    return {.changed = [this](const store_object& object, instant /*not_before*/) { apply_routes(object); }};
+    return {.changed = [this](const store_object& object, instant /*not_before*/) { apply_routes(object); },
+            .patched = [this](const store_object& object,
+                              const store_revision& base) { return apply_routes_difference(object, base); },
+            .patched_object = [this](const std::string& key) { return stored_routes(key); }};
 }
 
 auto cluster_state_feed::out_of_service_events() -> follower_events {
@@ -143,6 +206,19 @@
     return store_object{.key = key, .version = map->revision, .value = to_json(*map).dump()};
 }
 
+auto routes_difference(const std::string& before, const std::string& after) -> std::optional<std::string> {
+    const auto earlier = parse_json_within(before, platform::max_document_depth);
+    const auto later = parse_json_within(after, platform::max_document_depth);
+    if (earlier.is_discarded() || later.is_discarded()) {
+        return std::nullopt;
+    }
+    auto text = json_difference(earlier, later).dump();
+    if (text.size() < after.size()) {
+        return text;
+    }
+    return nlohmann::json::array({{{"op", "replace"}, {"path", ""}, {"value", later}}}).dump();
+}
+
 auto key_map_difference(const std::string& before, const std::string& after) -> std::optional<std::string> {
     const auto read = [](const std::string& text) {
         return key_map_from_json(nlohmann::json::parse(text, nullptr, false), {});
--- a/src/teaselcross/gateway/cluster_state_feed.h
+++ b/src/teaselcross/gateway/cluster_state_feed.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace teaselcross {
@@ -32,7 +33,12 @@
 
 private:
     auto apply_target(const store_object& object, instant not_before) -> void;
+    struct versioned_document;
+
     auto apply_routes(const store_object& object) -> void;
+    auto apply_routes_difference(const store_object& object, const store_revision& base) -> bool;
+    auto apply_routes_document() -> void;
+    auto stored_routes(const std::string& key) const -> std::optional<store_object>;
     auto apply_key_map(const store_object& object) -> void;
     auto apply_key_map_changes(const store_object& object, const store_revision& base) -> bool;
     auto stored_key_map(const std::string& key) const -> std::optional<store_object>;
@@ -41,10 +47,16 @@
     cluster_state& m_cluster;
     const store_access& m_store;
     std::function<void(const caller_limits&)> m_on_limits;
+    /// To which differences apply; null if there is none that can be read.
+    std::shared_ptr<versioned_document> m_routes_document;
     /// Latest parse error by object key, so that each error is logged only once.
     std::map<std::string, std::string> m_reported_faults;
 };
 
+/// Computes the difference between two configurations in stored form, as a JSON Patch (RFC 6902). Returns
+/// nothing when one of them cannot be parsed. Thread safe.
+auto routes_difference(const std::string& before, const std::string& after) -> std::optional<std::string>;
+
 /// Computes the changes between two key maps in stored form. Returns nothing when one of them cannot be
 /// parsed. Thread safe.
 auto key_map_difference(const std::string& before, const std::string& after) -> std::optional<std::string>;
--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -266,7 +266,10 @@
 auto gateway::create_followers() -> void {
     add_follower({.kind = platform::kinds::targets, .batch_delay = entry_batch_delay},
                  measured(m_feed.target_events()));
-    add_follower({.kind = platform::kinds::routes, .batch_delay = entry_batch_delay, .logs_changes = true},
+    add_follower({.kind = platform::kinds::routes,
+                  .batch_delay = entry_batch_delay,
+                  .logs_changes = true,
+                  .difference = routes_difference},
                  measured(m_feed.route_events()));
     m_router.set_config_age([&routes = *m_followers.back()] { return routes.state().age; });
     add_follower(
