An instance that may lack the newest configuration answers 404

Callers are told that a route doesn't exist by an instance that knows that its configuration is older than config-apply-s; they don't come back. Cause: 404 was decided by the copy alone, not by its age. Change: a request without a route is refused with 503, Retry-After and reason=config_unconfirmed while the configuration has not been confirmed for config-apply-s. This is the second line only: a confirmed change must be there by then. Measured: request_router_test.route_missing_in_an_unconfirmed_configuration_is_refused_for_now fails on the code before.

--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -132,7 +132,8 @@
     const auto target = std::string_view{request.target().data(), request.target().size()};
     started.rule = find_route(*started.table, started.caller.host, target.substr(0, target.find('?')));
     if (started.rule == nullptr) {
-        return refusal::no_route;
+        const auto is_unconfirmed = m_config_age && m_config_age() >= m_settings.config_apply;
+        return is_unconfirmed ? refusal::config_unconfirmed : refusal::no_route;
     }
     const auto& rule = *started.rule;
     if (const auto reason = identify(started, request)) {
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -43,15 +43,26 @@
     accounts_unconfirmed,
     over_quota,    ///< Its account has used its quota.
     quota_unknown, ///< No units of its account's quota may be used, as the controller is out of reach.
+    /// No route matches, but the configuration has not been confirmed in time: a later one may have a route.
+    config_unconfirmed,
 };
-constexpr enum_table<refusal, 16> refusal_names{"no_config",      "no_route",
-                                                "no_target",      "no_owner",
-                                                "overload",       "shortage",
-                                                "cold",           "quiet",
-                                                "out_of_time",    "target_failed",
-                                                "answer_timeout", "stopping",
-                                                "no_account",     "accounts_unconfirmed",
-                                                "over_quota",     "quota_unknown"};
+constexpr enum_table<refusal, 17> refusal_names{"no_config",
+                                                "no_route",
+                                                "no_target",
+                                                "no_owner",
+                                                "overload",
+                                                "shortage",
+                                                "cold",
+                                                "quiet",
+                                                "out_of_time",
+                                                "target_failed",
+                                                "answer_timeout",
+                                                "stopping",
+                                                "no_account",
+                                                "accounts_unconfirmed",
+                                                "over_quota",
+                                                "quota_unknown",
+                                                "config_unconfirmed"};
 
 namespace platform {
 struct target_answer;
@@ -68,7 +79,8 @@
     auto handle(responder& link, http_request request) -> boost::asio::awaitable<bool>;
 
     /// Sets the function that returns how long ago the configuration was last known to be the store's newest;
-    /// duration::max() for never, which also holds without a function.
+    /// duration::max() for never. Without a function, keys of client accounts count as never confirmed, and a
+    /// route that is missing as missing in the newest configuration, too.
     auto set_config_age(std::function<duration()> config_age) -> void {
         m_config_age = std::move(config_age);
     }
--- a/tests/gateway/request_router_test.cpp
+++ b/tests/gateway/request_router_test.cpp
@@ -234,5 +234,17 @@
     EXPECT_EQ(m_client.responses()[1].result_int(), 200U);
 }
 
+// Guards against callers that are told there is no such route by an instance that may lack a newer
+// configuration: they would not ask again.
+TEST_F(request_router_test, route_missing_in_an_unconfirmed_configuration_is_refused_for_now) {
+    auto age = m_settings.config_apply;
+    m_router.set_config_age([&age] { return age; });
+    const auto refused = ask("elsewhere", "1");
+    EXPECT_EQ(refused.result_int(), 503U);
+    EXPECT_FALSE(refused["Retry-After"].empty());
+    age -= milliseconds{1};
+    EXPECT_EQ(ask("elsewhere", "2").result_int(), 404U);
+}
+
 } // namespace
 } // namespace teaselcross
