--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -202,6 +202,82 @@
     notes.end(cut == 0);
 }
 
+// ---------------------------------------------------------------------------------------------------------
+// A machine is stopped with SIGTERM while uploads run whose server reads on only after a while.
+
+auto slow_upload(record& notes) -> void {
+    constexpr auto size = std::size_t{1'000'000};
+    constexpr auto budget_ms = 5000;
+    constexpr auto pause_ms = 3000.0;
+    constexpr auto uploads = 4;
+    constexpr auto small_buffer = 64 * 1024;
+    auto platform = store{};
+    auto begun_work = std::atomic<int>{0};
+    const auto begin_work = [&](const message& request) {
+        const auto id = request.field("Teaselcross-Request-Attempt-Id");
+        if (!id.empty()) {
+            ++begun_work;
+            notes.note("server begins to work on " + id + (is_troubled() ? " and reads on in 3 s" : ""));
+            sleep_ms(is_troubled() ? pause_ms : 0.0);
+        }
+    };
+    const auto work = [&](connection& to, const message& request) {
+        const auto id = request.field("Teaselcross-Request-Attempt-Id");
+        notes.note("server has run " + id + ", " + std::to_string(request.body.size()) + " bytes");
+        return to.send(answer_text(200, own_fields(request), "logged " + id));
+    };
+    auto servers = std::vector<std::unique_ptr<upstream>>{};
+    const auto zones = std::array<std::string, 3>{"turku-a", "turku-b", "salo-c"};
+    for (auto index = 0; index < 3; ++index) {
+        servers.push_back(std::make_unique<upstream>(platform, "i-" + std::to_string(index), "ledger", zones[index], 4,
+                                                     work, small_buffer, begin_work));
+    }
+    write_config(platform, 7, {{"/ledger/", "non_idempotent", {{"service", "ledger"}}, 5.0, 2.0}}, {"ledger"});
+    auto machines = fleet{platform, 3, notes};
+    sleep_ms(4000);
+    auto& stopped = machines.machines().front();
+    auto replaced = std::atomic<int>{0};
+    auto answered = std::atomic<int>{0};
+    auto asked = std::vector<std::thread>{};
+    for (auto index = 0; index < uploads; ++index) {
+        asked.emplace_back([&, index] {
+            const auto id = "u-" + std::to_string(index);
+            const auto begun = now_ms();
+            const auto opened = open_connection(stopped.front);
+            notes.note("client sends " + id + " to " + stopped.name);
+            if (!opened || !opened->send(request_text("POST", "/ledger/" + id, id, budget_ms, std::string(size, 'a')))) {
+                notes.note("client cannot send " + id);
+                return;
+            }
+            const auto answer = opened->read(begun + budget_ms, true);
+            const auto status = answer ? answer->status() : 0;
+            const auto is_signed = answer && !answer->field("Teaselcross-Server-Signature").empty();
+            answered += status == 200 && is_signed ? 1 : 0;
+            replaced += status >= 500 && !is_signed ? 1 : 0;
+            notes.note("client: " + id + " has " + (answer ? std::to_string(status) : "no answer") +
+                       (is_signed ? " of its server" : " of the machine itself") + " after " +
+                       std::to_string(static_cast<int>(now_ms() - begun)) + " ms of " + std::to_string(budget_ms));
+        });
+    }
+    sleep_ms(300);
+    machines.signal(stopped, SIGTERM);
+    for (auto& each : asked) {
+        each.join();
+    }
+    sleep_ms(pause_ms);
+    auto broken_off = 0;
+    for (const auto& each : servers) {
+        broken_off += each->broken_off();
+    }
+    notes.note("uploads " + std::to_string(uploads) + ", answered by their servers " + std::to_string(answered) +
+               ", broken off while their servers were at work on them " + std::to_string(broken_off) +
+               ", answered by the machine itself " + std::to_string(replaced));
+    if (begun_work == 0) {
+        notes.give_up("no upload reached a server");
+    }
+    notes.end(broken_off == 0 || replaced == 0);
+}
+
 // ---------------------------------------------------------------------------------------------------------
 // A client sends a lookup behind a download on its connection; the download's server breaks off at times.
 
@@ -508,6 +584,7 @@
     const auto cases = std::map<std::string, void (*)(review::record&)>{
         {"slow_readers", review::slow_readers},
         {"silent_download", review::silent_download},
+        {"slow_upload", review::slow_upload},
         {"behind_broken_answer", review::behind_broken_answer},
         {"weights_withdrawn", review::weights_withdrawn},
         {"endless_body", review::endless_body},
--- a/review/standins-3/harness.h
+++ b/review/standins-3/harness.h
@@ -205,7 +205,9 @@
     auto timed_out() const -> bool { return m_timed_out; }
 
     /// Reads a request or an answer. Nothing if no head arrived; a body that ended early has is_whole false.
-    auto read(double deadline_ms, bool is_answer) -> std::optional<message> {
+    /// Calls @a on_head when the head is in, before the body is read.
+    auto read(double deadline_ms, bool is_answer, const std::function<void(const message&)>& on_head = {})
+        -> std::optional<message> {
         auto end = std::string::npos;
         while ((end = m_buffer.find("\r\n\r\n")) == std::string::npos) {
             if (!fill(deadline_ms)) {
@@ -229,6 +231,9 @@
             }
             from = to + 2;
         }
+        if (on_head) {
+            on_head(read);
+        }
         if (read.field("Transfer-Encoding").find("chunked") != std::string::npos) {
             read_chunks(read, deadline_ms);
         } else if (!read.field("Content-Length").empty()) {
@@ -323,8 +328,12 @@
 class server {
 public:
     using handler = std::function<void(connection&)>;
-    explicit server(handler handle) : m_handle{std::move(handle)} {
+    /// @a receive_buffer is the size of the sockets' buffers in bytes; 0 for the system's choice.
+    explicit server(handler handle, int receive_buffer = 0) : m_handle{std::move(handle)} {
         m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (receive_buffer > 0) {
+            ::setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+        }
         auto address = address_of(0);
         auto size = socklen_t{sizeof address};
         if (::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
@@ -534,9 +543,11 @@
     /// Answers one request on its connection. Returns false to end the connection.
     using worker = std::function<bool(connection&, const message&)>;
 
-    upstream(store& registry, std::string id, std::string service, std::string zone, int slots, worker work)
+    upstream(store& registry, std::string id, std::string service, std::string zone, int slots, worker work,
+             int receive_buffer = 0, std::function<void(const message&)> on_head = {})
         : m_registry{registry}, m_id{std::move(id)}, m_service{std::move(service)}, m_zone{std::move(zone)},
-          m_slots{slots}, m_work{std::move(work)}, m_server{[this](connection& from) { serve(from); }} {
+          m_slots{slots}, m_work{std::move(work)}, m_on_head{std::move(on_head)},
+          m_server{[this](connection& from) { serve(from); }, receive_buffer} {
         m_born = std::chrono::duration_cast<std::chrono::milliseconds>(
                      std::chrono::system_clock::now().time_since_epoch())
                      .count();
@@ -549,6 +560,8 @@
         }}.detach();
     }
     auto id() const -> const std::string& { return m_id; }
+    /// Requests whose connection was closed before their body was in.
+    auto broken_off() const -> int { return m_broken_off; }
 
 private:
     auto announce() -> void {
@@ -564,7 +577,11 @@
                         {"sequence", ++m_sequence}});
     }
     auto serve(connection& from) -> void {
-        while (auto request = from.read(forever_ms, false)) {
+        while (auto request = from.read(forever_ms, false, m_on_head)) {
+            if (!request->is_whole) {
+                m_broken_off += 1;
+                return;
+            }
             const auto expected = request->field("Teaselcross-Expect-Instance");
             if (!expected.empty() && expected != m_id) {
                 from.send(answer_text(421,
@@ -586,6 +603,8 @@
     std::string m_zone;
     int m_slots;
     worker m_work;
+    std::function<void(const message&)> m_on_head; ///< Called before the body of a request is read.
+    std::atomic<int> m_broken_off{0};
     std::int64_t m_born = 0;
     std::uint64_t m_sequence = 0;
     server m_server;
