--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -204,6 +204,113 @@
     notes.end(broken_off == 0 || replaced == 0);
 }
 
+// ---------------------------------------------------------------------------------------------------------
+// More clients than 4096 keep a connection to one machine, which may have 10,250 descriptors.
+
+auto many_connections(record& notes) -> void {
+    const auto wanted = is_troubled() ? 4300 : 3900;
+    constexpr auto openers = 8;
+    constexpr auto newcomers = 12;
+    constexpr auto window_ms = 3000.0; // stable-window-s
+    constexpr auto watch_ms = 5000.0;
+    constexpr auto needed_files = rlim_t{9'500}; // Of this process; the machine needs fewer.
+    auto files = rlimit{};
+    ::getrlimit(RLIMIT_NOFILE, &files);
+    files.rlim_cur = std::max(files.rlim_cur, std::min(files.rlim_max, needed_files));
+    ::setrlimit(RLIMIT_NOFILE, &files);
+    if (files.rlim_cur < needed_files) {
+        notes.give_up("this machine allows a process too few open files");
+    }
+    auto platform = store{};
+    const auto work = [&](connection& to, const message& request) {
+        return to.send(answer_text(200, own_fields(request), "found"));
+    };
+    auto servers = std::vector<std::unique_ptr<upstream>>{};
+    const auto zones = std::array<std::string, 3>{"turku-a", "turku-b", "salo-c"};
+    for (auto index = 0; index < 3; ++index) {
+        servers.push_back(std::make_unique<upstream>(platform, "i-" + std::to_string(index), "history", zones[index], 40, work));
+    }
+    write_config(platform, 7, {{"/history/", "safe", {{"service", "history"}}, 2.0, 1.0}}, {"history"});
+    auto machines = fleet{platform, 3, notes, {.cpu_share = 0.25, .memory_mb = 400, .max_fds = 10250}};
+    sleep_ms(4000);
+    auto& full = machines.machines().front();
+    const auto ask = [](connection& over, const std::string& id) {
+        if (!over.send(request_text("GET", "/history/" + id, id, 2000))) {
+            return false;
+        }
+        const auto answer = over.read(now_ms() + 2000, true);
+        return answer && answer->status() == 200 && answer->is_whole;
+    };
+    auto kept_mutex = std::mutex{};
+    auto kept = std::vector<std::unique_ptr<connection>>{};
+    auto next = std::atomic<int>{0};
+    auto opening = std::vector<std::thread>{};
+    for (auto opener = 0; opener < openers; ++opener) {
+        opening.emplace_back([&] {
+            for (auto number = next++; number < wanted; number = next++) {
+                auto opened = open_connection(full.front);
+                if (opened && ask(*opened, "k-" + std::to_string(number))) {
+                    const auto lock = std::lock_guard{kept_mutex};
+                    kept.push_back(std::move(opened));
+                }
+            }
+        });
+    }
+    for (auto& each : opening) {
+        each.join();
+    }
+    notes.note(std::to_string(kept.size()) + " of " + std::to_string(wanted) +
+               " clients have had an answer from " + full.name + " and keep their connections");
+    const auto begun = now_ms();
+    auto served_mutex = std::mutex{};
+    auto last_served = begun;
+    auto longest = 0.0;
+    auto served = std::atomic<int>{0};
+    auto turned_away = std::atomic<int>{0};
+    auto ready = std::atomic<int>{0};
+    auto not_ready = std::atomic<int>{0};
+    const auto is_over = [&] { return now_ms() >= begun + watch_ms; };
+    auto trying = std::vector<std::thread>{};
+    for (auto client = 0; client < newcomers; ++client) {
+        trying.emplace_back([&, client] {
+            for (auto round = 0; !is_over(); ++round) {
+                const auto opened = open_connection(full.front);
+                if (opened && ask(*opened, "n-" + std::to_string(client) + "-" + std::to_string(round))) {
+                    ++served;
+                    const auto lock = std::lock_guard{served_mutex};
+                    longest = std::max(longest, now_ms() - last_served);
+                    last_served = now_ms();
+                } else {
+                    ++turned_away;
+                }
+                sleep_ms(100);
+            }
+        });
+    }
+    while (!is_over()) {
+        (fleet::is_ready(full) ? ready : not_ready) += 1;
+        sleep_ms(1000);
+    }
+    for (auto& each : trying) {
+        each.join();
+    }
+    longest = std::max(longest, begun + watch_ms - last_served);
+    auto still_served = 0;
+    for (std::size_t index = 0; index < 20 && index < kept.size(); ++index) {
+        still_served += ask(*kept[index], "o-" + std::to_string(index)) ? 1 : 0;
+    }
+    notes.note("in " + std::to_string(static_cast<int>(watch_ms)) + " ms " + std::to_string(newcomers) +
+               " clients try new connections: served " + std::to_string(served) + ", closed unanswered " +
+               std::to_string(turned_away) + "; longest time without a new connection served " +
+               std::to_string(static_cast<int>(longest)) + " ms");
+    notes.note("readiness: 200 " + std::to_string(ready) + " times, otherwise " + std::to_string(not_ready) +
+               " times; kept connections that are served: " + std::to_string(still_served) + " of 20");
+    if (kept.size() < 3800) {
+        notes.give_up("too few connections could be opened");
+    }
+    notes.end(longest < window_ms || not_ready > 0);
+}
+
 // ---------------------------------------------------------------------------------------------------------
 // The operator changes the weights of a split: one part gets none any more.
 
@@ -304,7 +411,7 @@
     constexpr auto timeout_ms = 1000.0;
     constexpr auto budget_ms = 2000;
     constexpr auto bound_ms = timeout_ms + 500;
-    constexpr auto requests = 60;
+    constexpr auto requests = 150;
     constexpr auto piece = std::size_t{32 * 1024};
     constexpr auto piece_ms = 5.0; // Between two pieces: 6 MB a second.
     auto platform = store{};
@@ -339,7 +446,7 @@
     for (auto index = 0; index < requests; ++index) {
         asked.emplace_back([&, index] {
             auto& machine = machines.machines()[static_cast<std::size_t>(index) % 3];
-            sleep_ms(index * 60);
+            sleep_ms(index * 40);
             const auto id = "r-" + std::to_string(index);
             const auto opened = open_connection(machine.front);
             const auto begun = now_ms();
@@ -393,6 +500,7 @@
     const auto cases = std::map<std::string, void (*)(review::record&)>{
         {"slow_readers", review::slow_readers},
         {"slow_upload", review::slow_upload},
+        {"many_connections", review::many_connections},
         {"weights_withdrawn", review::weights_withdrawn},
         {"endless_body", review::endless_body},
     };
--- a/review/standins-3/harness.h
+++ b/review/standins-3/harness.h
@@ -12,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -622,8 +623,17 @@
         pid_t pid = 0;
     };
 
+    /// The machine class of the settings.
+    struct limits {
+        double cpu_share = 0.2;
+        int memory_mb = 260;
+        int max_fds = 4100;
+    };
+
     /// Starts @a count machines and waits until all are ready.
-    fleet(store& platform, std::size_t count, record& notes) : m_notes{notes} {
+    fleet(store& platform, std::size_t count, record& notes) : fleet{platform, count, notes, limits{}} {}
+    fleet(store& platform, std::size_t count, record& notes, limits of_machine)
+        : m_notes{notes}, m_limits{of_machine} {
         char name[] = "/tmp/review-3-XXXXXX";
         if (::mkdtemp(name) == nullptr) {
             m_notes.give_up("no temporary folder");
@@ -681,10 +691,10 @@
             {"seeds", json::array()},
             {"bootstrap", true},
             {"limits",
-             {{"cpu-share", 0.2},
+             {{"cpu-share", m_limits.cpu_share},
               {"cores", 1},
-              {"memory-mb", 260},
-              {"max-fds", 4100},
+              {"memory-mb", m_limits.memory_mb},
+              {"max-fds", m_limits.max_fds},
               {"link-mbps", 1000.0},
               {"disk-mb", 0}}},
             {"discovery", "platform"},
@@ -730,6 +740,7 @@
         m_machines.push_back(made);
     }
     record& m_notes;
+    limits m_limits;
     std::string m_folder;
     std::vector<machine> m_machines;
 };
