--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -213,7 +213,7 @@
     constexpr auto newcomers = 12;
     constexpr auto window_ms = 3000.0; // stable-window-s
     constexpr auto watch_ms = 5000.0;
-    constexpr auto needed_files = rlim_t{9'500}; // Of this process; the machine needs fewer.
+    constexpr auto needed_files = rlim_t{5'000}; // Of this process, and of the machine, which inherits the limit.
     auto files = rlimit{};
     ::getrlimit(RLIMIT_NOFILE, &files);
     files.rlim_cur = std::max(files.rlim_cur, std::min(files.rlim_max, needed_files));
