Slow readers: a number of connections or bytes no longer cuts responses on their way

A stop ends all idle connections in one moment; those with nothing on their way pushed out those with answers on theirs.

Change: lingering adds neither descriptors nor memory to what a connection used before, so it has no bound of its own. Descriptors are bounded by the limit of all connections, at which one that only waits for its client's close gives way to a new one. Bytes that have not arrived are bounded over all connections of a port (undelivered_limit, by the instance's memory): beyond it new requests are refused unread, and only a connection whose caller has stopped waiting is reset. The checks of lingering connections become rarer with their number.

--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -53,7 +53,11 @@
 constexpr auto answer_memory_fraction = 0.125;
 /// The same for the bodies of callers' requests, which are refused beyond it.
 constexpr auto request_memory_fraction = 0.375;
-/// Suggested retry delay for a request whose body did not fit.
+/// The same for what was written to clients and has not arrived: of answers on the port for callers, and on
+/// each of the other ports.
+constexpr auto undelivered_fraction = 0.25;
+constexpr auto internal_undelivered_fraction = 0.125;
+/// Suggested retry delay for a request for which there was no memory.
 constexpr auto memory_retry_after = duration{std::chrono::seconds{1}};
 
 auto fraction_of(std::size_t bytes, double fraction) -> std::size_t {
@@ -149,6 +153,9 @@
                                   .body_limit = internal_body_limit,
                                   .body_memory = body_memory,
                                   .sets_outcome_header = false};
+    const auto is_for_callers = body_memory != nullptr;
+    options.undelivered_limit = fraction_of(
+        m_settings.memory_limit, is_for_callers ? undelivered_fraction : internal_undelivered_fraction);
     options.make_busy_answer = [this](const auto& refused) {
         m_measured.count(counter::refused_not_run);
         const auto caller = platform::read_caller_request(http_request{refused});
@@ -390,7 +397,7 @@
     m_callers->close_after_next_answer();
     co_await m_controller.stop();
     co_await stop_serving(*m_callers, m_router, schedule);
-    log::info("stopped", {{"busy", m_callers->busy()}});
+    log::info("stopped", {{"busy", m_callers->busy()}, {"connections", m_callers->connections()}});
     log::flush_direct();
     m_context.stop();
 }
--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -60,7 +60,8 @@
     service_id service;
     service_policy policy;
     instant arrived{};
-    instant deadline{};  ///< When the caller leaves or the route's timeout ends.
+    /// When the caller leaves or the route's timeout ends; the latest moment if the route is not known.
+    instant deadline = instant::max();
     instant objective{}; ///< Time by which the request should be answered.
     std::uint32_t sends = 0;
     bool may_have_run = false;
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -80,7 +80,9 @@
 auto request_router::handle(responder& link, http_request request) -> asio::awaitable<bool> {
     auto current = request_context{.link = &link};
     m_measured.count(counter::requests);
-    if (const auto reason = start_request(current, request)) {
+    const auto reason = start_request(current, request);
+    link.expect_until(current.deadline);
+    if (reason) {
         co_return co_await refuse(link, current, *reason);
     }
     if (current.rule->kind == request_kind::at_most_once) {
--- a/src/teaselcross/http/responder.cpp
+++ b/src/teaselcross/http/responder.cpp
@@ -48,9 +48,9 @@
 
 } // namespace
 
-client_link::client_link(asio::ip::tcp::socket socket)
-    : stream{std::move(socket)}, reader_wakeup{stream.get_executor(), asio::steady_timer::time_point::max()} {
-}
+client_link::client_link(asio::ip::tcp::socket socket, std::shared_ptr<std::size_t> written_bytes)
+    : stream{std::move(socket)}, written{std::move(written_bytes)},
+      reader_wakeup{stream.get_executor(), asio::steady_timer::time_point::max()} {}
 
 auto client_link::on_disconnected() -> void {
     if (disconnected) {
@@ -102,6 +102,12 @@
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
+auto client_link::count_written(std::size_t bytes) -> void {
+    if (written != nullptr) {
+        *written += bytes;
+    }
+}
+
 auto client_link::reset() -> void {
     auto ignored = boost::system::error_code{};
     stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
@@ -148,6 +154,11 @@
     }
 }
 
+auto responder::expect_until(instant until) -> void {
+    auto& wanted_until = m_link->wanted_until;
+    wanted_until = std::max(wanted_until.value_or(until), until);
+}
+
 auto responder::check_connection() -> void {
     if (!is_disconnected() && m_link->is_closed_by_client()) {
         m_link->on_disconnected();
@@ -209,6 +220,7 @@
     auto& stream = to.m_link->stream;
     stream.expires_after(write_timeout);
     const auto [error, size] = co_await http::async_write(stream, answer, as_result);
+    to.m_link->count_written(size);
     stream.expires_never();
     to.end_response(!error);
     co_return !error;
@@ -229,6 +241,7 @@
     auto serializer = http::response_serializer<http::buffer_body>{message};
     stream.expires_after(write_timeout);
     const auto [header_error, header_size] = co_await http::async_write_header(stream, serializer, as_result);
+    to.m_link->count_written(header_size);
     auto part = std::exchange(answer.body, {});
     auto broken = static_cast<bool>(header_error);
     while (!broken) {
@@ -238,6 +251,7 @@
         if (!part.empty() || answer.complete) {
             stream.expires_after(write_timeout);
             const auto [error, size] = co_await http::async_write(stream, serializer, as_result);
+            to.m_link->count_written(size);
             broken = error && error != http::error::need_buffer;
         }
         if (broken || answer.complete) {
--- a/src/teaselcross/http/responder.h
+++ b/src/teaselcross/http/responder.h
@@ -22,7 +22,8 @@
 
 /// A client connection. Not thread safe: use it on the event loop's thread only.
 struct client_link {
-    explicit client_link(boost::asio::ip::tcp::socket socket);
+    /// Adds the size of what is written to @a written, which may be null.
+    explicit client_link(boost::asio::ip::tcp::socket socket, std::shared_ptr<std::size_t> written = nullptr);
 
     /// Whether no further request will be read.
     auto is_read_to_end() const -> bool { return reading_ended || disconnected || closed; }
@@ -48,6 +49,10 @@
     auto close() -> void;
     /// Ends the sending side, behind what was written.
     auto end_writing() -> void;
+    /// Counts @a bytes that were written.
+    auto count_written(std::size_t bytes) -> void;
+    /// Whether the client has stopped waiting for the responses at @a now.
+    auto is_given_up(instant now) const -> bool { return wanted_until && now >= *wanted_until; }
     /// Closes the connection with a TCP reset, as when the process is killed.
     auto reset() -> void;
     /// Wakes the coroutine that reads requests.
@@ -56,6 +61,9 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::string remote; ///< The client's IP address.
+    std::shared_ptr<std::size_t> written;
+    /// When the client stops waiting for the latest of the responses; nothing if that is not known.
+    std::optional<instant> wanted_until;
     boost::asio::steady_timer reader_wakeup;
     std::uint64_t next_number = 0;    ///< Of the next request to be read.
     std::uint64_t current_number = 0; ///< Of the request whose response is the next to be written.
@@ -86,6 +94,8 @@
     /// Looks at the connection, in case that the client has disconnected and the event loop is late.
     auto check_connection() -> void;
     auto remote() const -> const std::string& { return m_link->remote; }
+    /// Tells when the client stops waiting for the response; instant::max() if that is not known.
+    auto expect_until(instant until) -> void;
     /// Whether the response was written, completely or in part.
     auto has_responded() const -> bool { return m_responded; }
 
--- a/src/teaselcross/http/server.cpp
+++ b/src/teaselcross/http/server.cpp
@@ -166,6 +166,9 @@
         if (error == asio::error::operation_aborted || m_stopping) {
             co_return;
         }
+        if (release_settled()) {
+            continue;
+        }
         // Probably out of file descriptors: waits until some connections have closed.
         log::warning("accept_failed", {{"port", m_options.port}, {"error", error.message()}});
         auto pause = asio::steady_timer{m_executor, std::chrono::milliseconds{50}};
@@ -187,13 +190,13 @@
 }
 
 auto http_server::start_session(asio::ip::tcp::socket socket) -> void {
-    if (connections() >= m_options.connection_limit) {
+    if (connections() >= m_options.connection_limit && !release_settled()) {
         log::warning("connection_limit", {{"port", m_options.port}, {"limit", m_options.connection_limit}});
         return;
     }
     auto ignored = boost::system::error_code{};
     socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-    auto client_session = std::make_shared<session>(std::move(socket), m_connections);
+    auto client_session = std::make_shared<session>(std::move(socket), m_connections, m_written);
     auto& link = *client_session->link;
     const auto remote = link.stream.socket().remote_endpoint(ignored);
     link.remote = ignored ? std::string{} : remote.address().to_string();
@@ -275,7 +278,9 @@
     link.stream.expires_after(m_options.request_limit);
     auto error = co_await receive_header(link.stream, link.buffer, parser);
     auto reserved = memory_reservation{m_options.body_memory};
-    if (!error) {
+    if (!error && is_undelivered_full()) {
+        error = asio::error::no_memory;
+    } else if (!error) {
         error = co_await read_body(client_session, parser, reserved);
     }
     if (link.closed) {
@@ -393,11 +398,7 @@
     if (link.reading_ended) {
         co_return; // A response that closes the connection went out meanwhile.
     }
-    const auto* budget = m_options.body_memory;
-    log::warning("request_memory_full", {{"port", m_options.port},
-                                         {"target", std::string{refused.target()}},
-                                         {"in_use", budget->in_use()},
-                                         {"limit", budget->limit()}});
+    log_full_memory(refused);
     auto answer = m_options.make_busy_answer ? m_options.make_busy_answer(refused)
                                              : plain_busy_answer(m_options.sets_outcome_header);
     link.reading_ended = true;
@@ -406,6 +407,22 @@
     static_cast<void>(co_await write_answer(to, std::move(answer)));
 }
 
+auto http_server::log_full_memory(const http::request_header<>& refused) const -> void {
+    const auto* budget = m_options.body_memory;
+    const auto target = std::string{refused.target()};
+    if (m_undelivered + *m_written > m_options.undelivered_limit) {
+        log::warning("undelivered_limit", {{"port", m_options.port},
+                                           {"target", target},
+                                           {"undelivered", m_undelivered + *m_written},
+                                           {"limit", m_options.undelivered_limit}});
+    } else if (budget != nullptr) {
+        log::warning("request_memory_full", {{"port", m_options.port},
+                                             {"target", target},
+                                             {"in_use", budget->in_use()},
+                                             {"limit", budget->limit()}});
+    }
+}
+
 auto json_answer(const http_request& request, http::status status, const std::string& body) -> http_response {
     auto answer = http_response{status, request.version()};
     answer.set(http::field::content_type, "application/json");
--- a/src/teaselcross/http/server.h
+++ b/src/teaselcross/http/server.h
@@ -6,7 +6,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -24,10 +23,10 @@
     duration request_limit = std::chrono::seconds{10}; ///< For the complete request to arrive.
     /// For the last responses of a connection to arrive at a client that reads slowly, once it gets no more.
     duration linger_limit = std::chrono::seconds{30};
-    /// Connections that wait for that, and their bytes that have not arrived. Beyond a limit, the one that
-    /// has waited longest is closed.
-    std::size_t lingering_connections = 256;
-    std::size_t lingering_bytes = std::size_t{64} * 1024 * 1024;
+    /// Bytes of responses that were written and have not arrived at their clients, of all connections
+    /// together. Beyond it new requests are refused. A response that has begun stays, until its client has
+    /// stopped waiting for it.
+    std::size_t undelivered_limit = std::size_t{64} * 1024 * 1024;
     /// Requests of one connection that are handled at the same time; the next one is read afterwards.
     std::size_t pipeline_limit = 16;
     /// Bodies of the requests of one connection that are handled at the same time, in bytes; one request is
@@ -36,7 +35,7 @@
     /// Limits the memory of the bodies of all requests in progress together, beside a few kilobytes for each.
     /// Null for no limit; it must outlive the event loop.
     memory_budget* body_memory = nullptr;
-    /// Builds the response to a request that was not read because the memory is used up; null for a plain
+    /// Builds the response to a request that is not handled because the memory is used up; null for a plain
     /// one.
     std::function<http_response(const boost::beast::http::request_header<>&)> make_busy_answer;
     bool sets_outcome_header = true; ///< Whether error responses to malformed requests carry the outcome
@@ -89,7 +88,10 @@
     auto may_read(const session& client_session) const -> bool;
     auto close_gracefully(std::shared_ptr<session> client_session) -> boost::asio::awaitable<void>;
     auto linger(std::shared_ptr<session> client_session) -> boost::asio::awaitable<void>;
-    auto limit_lingering() -> void;
+    auto linger_check_interval() const -> duration;
+    auto release_settled() -> bool;
+    auto is_undelivered_full() -> bool;
+    auto measure_undelivered(instant now) -> void;
     auto wait_for_input(std::shared_ptr<session> client_session, duration limit)
         -> boost::asio::awaitable<void>;
     auto read_request(std::shared_ptr<session> client_session) -> boost::asio::awaitable<void>;
@@ -99,6 +101,7 @@
                  memory_reservation reserved) -> boost::asio::awaitable<void>;
     auto respond_busy(std::shared_ptr<session> client_session,
                       const boost::beast::http::request_header<>& refused) -> boost::asio::awaitable<void>;
+    auto log_full_memory(const boost::beast::http::request_header<>& refused) const -> void;
     auto respond_to_malformed(std::shared_ptr<session> client_session, boost::system::error_code error)
         -> boost::asio::awaitable<void>;
 
@@ -108,11 +111,16 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     /// The coroutine that serves a connection owns its session.
     std::set<std::weak_ptr<session>, std::owner_less<>> m_sessions;
-    std::deque<std::weak_ptr<session>> m_lingering; ///< The one that has waited longest first.
+    std::size_t m_undelivered = 0; ///< Bytes that had not arrived at their clients at the last measurement.
+    instant m_next_measurement{};
     /// Shared with the connections and requests, which are counted until they are destroyed: also when an
     /// exception ends their coroutine, or the event loop is destroyed after the server.
     std::shared_ptr<std::size_t> m_connections = std::make_shared<std::size_t>();
     std::shared_ptr<std::size_t> m_busy = std::make_shared<std::size_t>();
+    /// Connections that wait for their last responses to arrive.
+    std::shared_ptr<std::size_t> m_lingering = std::make_shared<std::size_t>();
+    /// Bytes of responses that were written since the last measurement.
+    std::shared_ptr<std::size_t> m_written = std::make_shared<std::size_t>();
     bool m_stopping = false;
     bool m_close_after_next_answer = false;
 };
--- a/src/teaselcross/http/server_linger.cpp
+++ b/src/teaselcross/http/server_linger.cpp
@@ -1,4 +1,5 @@
-// How a connection is closed while its last responses are still on their way.
+// How a connection is closed while its last responses are still on their way, and the bound for what is on
+// its way on all connections.
 
 #include "http/server.h"
 
@@ -6,6 +7,8 @@
 #include "logging/log.h"
 #include "runtime/clock.h"
 
+#include <algorithm>
+
 namespace teaselcross {
 
 namespace asio = boost::asio;
@@ -14,7 +17,13 @@
 
 /// How long the client may take to close its side once the last response has arrived.
 constexpr auto close_time = duration{std::chrono::milliseconds{500}};
-constexpr auto linger_check_interval = duration{std::chrono::milliseconds{50}};
+/// Interval of the checks whether a response has arrived, of which the system gives no notice. It grows with
+/// the number of connections, so that their checks together take a bounded part of the processor.
+constexpr auto min_check_interval = duration{std::chrono::milliseconds{50}};
+constexpr auto max_check_interval = duration{std::chrono::milliseconds{500}};
+constexpr auto check_interval_per_connection = duration{std::chrono::microseconds{500}};
+/// Least time between two measurements of all connections.
+constexpr auto measurement_interval = duration{std::chrono::milliseconds{50}};
 
 } // namespace
 
@@ -25,11 +34,9 @@
     link.end_writing();
     link.buffer.clear();
     link.buffer.shrink_to_fit();
-    client_session->unacknowledged = link.unacknowledged_bytes().value_or(0);
-    m_lingering.push_back(client_session);
-    limit_lingering();
+    client_session->lingers = true;
+    const auto lingering = counted{m_lingering};
     co_await linger(client_session);
-    std::erase_if(m_lingering, [&](const auto& each) { return each.lock() == client_session; });
     link.close();
     link.stream.close();
 }
@@ -48,34 +55,74 @@
         const auto has_finished =
             link.has_client_finished() || (client_session->has_input && link.is_closed_by_client());
         underway_at = is_underway ? monotonic_now() : underway_at;
-        if ((has_finished && bytes.value_or(0) == 0) || monotonic_now() - underway_at >= idle_limit) {
+        const auto idle_end = underway_at + idle_limit;
+        if ((has_finished && bytes.value_or(0) == 0) || monotonic_now() >= idle_end) {
             co_return;
         }
-        client_session->unacknowledged = bytes.value_or(0);
         if (discards && client_session->has_input) {
             client_session->has_input = !link.discard_input(); // At the end of the input, it stays readable.
         }
-        co_await wait_for_input(client_session, linger_check_interval);
+        // With everything arrived, the close by the client is the next event, of which the system gives
+        // notice unless there is other input.
+        const auto waits_for_close = !is_underway && !discards && !client_session->has_input;
+        co_await wait_for_input(client_session,
+                                waits_for_close ? idle_end - monotonic_now() : linger_check_interval());
     }
 }
 
-/// Closes the connections that have lingered longest while there are too many, or too many bytes of them.
-auto http_server::limit_lingering() -> void {
-    auto bytes = std::size_t{0};
-    for (const auto& each : m_lingering) {
-        const auto found = each.lock();
-        bytes += found ? found->unacknowledged : 0;
+auto http_server::linger_check_interval() const -> duration {
+    return std::clamp(check_interval_per_connection * static_cast<duration::rep>(*m_lingering),
+                      min_check_interval, max_check_interval);
+}
+
+/// Closes one connection that has ended and whose responses have all arrived, in favour of a new one. Returns
+/// false if there is none.
+auto http_server::release_settled() -> bool {
+    for (const auto& each : open_sessions()) {
+        auto& link = *each->link;
+        if (each->lingers && link.stream.socket().is_open() && link.unacknowledged_bytes() == 0U) {
+            link.close();
+            link.stream.close();
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Whether the bytes that have not arrived at clients leave no room for further responses. What is written
+/// counts until the next measurement, which is made only when the limit may have been reached.
+auto http_server::is_undelivered_full() -> bool {
+    const auto is_full = [this] { return m_undelivered + *m_written > m_options.undelivered_limit; };
+    const auto now = monotonic_now();
+    if (is_full() && now >= m_next_measurement) {
+        m_next_measurement = now + measurement_interval;
+        measure_undelivered(now);
+    }
+    return is_full();
+}
+
+/// Measures the bytes that have not arrived at clients. Beyond the limit, resets connections whose clients
+/// have stopped waiting for the responses on them.
+auto http_server::measure_undelivered(instant now) -> void {
+    *m_written = 0;
+    m_undelivered = 0;
+    auto given_up = std::vector<std::shared_ptr<session>>{};
+    for (auto& each : open_sessions()) {
+        const auto bytes = each->link->unacknowledged_bytes().value_or(0);
+        m_undelivered += bytes;
+        if (bytes > 0 && each->link->in_progress() == 0 && each->link->is_given_up(now)) {
+            given_up.push_back(std::move(each));
+        }
     }
-    while (m_lingering.size() > m_options.lingering_connections || bytes > m_options.lingering_bytes) {
-        const auto oldest = m_lingering.front().lock();
-        m_lingering.pop_front();
-        if (oldest) {
-            log::warning("lingering_limit", {{"port", m_options.port},
-                                             {"client", oldest->link->remote},
-                                             {"unacknowledged", oldest->unacknowledged}});
-            bytes -= oldest->unacknowledged;
-            oldest->link->reset();
+    for (const auto& each : given_up) {
+        if (m_undelivered <= m_options.undelivered_limit) {
+            break;
         }
+        const auto bytes = each->link->unacknowledged_bytes().value_or(0);
+        log::info("unread_response_dropped",
+                  {{"port", m_options.port}, {"client", each->link->remote}, {"undelivered", bytes}});
+        m_undelivered -= std::min(bytes, m_undelivered);
+        each->link->reset();
     }
 }
 
--- a/src/teaselcross/http/server_session.h
+++ b/src/teaselcross/http/server_session.h
@@ -25,8 +25,10 @@
 
 /// A client connection with what its reader waits for.
 struct http_server::session {
-    session(boost::asio::ip::tcp::socket socket, std::shared_ptr<std::size_t> connections)
-        : link{std::make_shared<client_link>(std::move(socket))}, open{std::move(connections)} {}
+    session(boost::asio::ip::tcp::socket socket, std::shared_ptr<std::size_t> connections,
+            std::shared_ptr<std::size_t> written)
+        : link{std::make_shared<client_link>(std::move(socket), std::move(written))}, open{std::move(
+                                                                                          connections)} {}
 
     std::shared_ptr<client_link> link;
     counted open;
@@ -35,8 +37,8 @@
     bool has_served = false;     ///< A request has been read.
     bool runs_alone = false;     ///< A request is in progress beside which no other one may run.
     bool discards_input = false; ///< What still arrives belongs to a request that was answered unread.
+    bool lingers = false;        ///< Waits for its last responses to arrive; reads no request any more.
     std::size_t bytes_in_progress = 0;
-    std::size_t unacknowledged = 0; ///< Bytes that have not arrived at the client, while it lingers.
     instant idle_since = monotonic_now();
 };
 
--- a/tests/gateway/graceful_stop_test.cpp
+++ b/tests/gateway/graceful_stop_test.cpp
@@ -7,6 +7,7 @@
 #include "runtime/clock.h"
 #include "support/http_client.h"
 #include "support/scripted_target.h"
+#include "support/slow_reader.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -184,6 +185,27 @@
     EXPECT_EQ(late_client.responses().front().result_int(), 200U);
 }
 
+// Guards against clients that read nothing and keep the process beyond the end of its schedule.
+TEST_F(graceful_stop_test, many_callers_that_read_nothing_do_not_delay_the_end) {
+    auto target = scripted_target{m_context, [](const scripted_request& asked) -> scripted_answer {
+                                      return {success(asked.attempt_id, std::string(30'000, 'x'))};
+                                  }};
+    list(target);
+    auto readers = std::vector<std::unique_ptr<slow_reader>>{};
+    for (auto number = std::size_t{1}; number <= 300; ++number) {
+        readers.push_back(std::make_unique<slow_reader>(m_context, m_server.port(), std::nullopt));
+        readers.back()->send(request("safe", std::to_string(number), seconds{2}));
+        ASSERT_TRUE(run_until(m_context, [&] { return target.requests() == number; }));
+    }
+    ASSERT_TRUE(run_until(m_context, [this] { return m_server.busy() == 0; }));
+    EXPECT_GE(m_server.connections(), 300U);
+    const auto began = monotonic_now();
+    stop();
+    ASSERT_TRUE(run_to_end());
+    EXPECT_GE(monotonic_now() - began, grace) << "responses that callers still wait for were given up";
+    EXPECT_LT(monotonic_now() - began, grace + milliseconds{200});
+}
+
 // Guards against requests that are cut as soon as the instance stops accepting, because the grace time is
 // short.
 TEST(stop_schedule, leaves_time_for_answers_whatever_the_grace_time) {
