Stop: let the system deliver what was written when the process ends

What callers saw: an answer that was still being read 5.5 s after SIGTERM, within its time, was reset if the caller had sent a further request that was not read.

Cause: the process closed such sockets by ending, with unread input in them. The system then resets the connection and drops what it has not sent.

Change: at the end of the stop's schedule the input is discarded and the sockets are closed in order, on all three ports; the system goes on delivering. What has not been handed to the system by then is cut, as before.

--- a/src/teaselcross/gateway/gateway.cpp
+++ b/src/teaselcross/gateway/gateway.cpp
@@ -398,6 +398,9 @@
     co_await m_controller.stop();
     co_await stop_serving(*m_callers, m_router, schedule);
     log::info("stopped", {{"busy", m_callers->busy()}, {"connections", m_callers->connections()}});
+    for (auto* each : {m_callers.get(), m_readiness.get(), m_internal.get()}) {
+        each->hand_over_to_system();
+    }
     log::flush_direct();
     m_context.stop();
 }
--- a/src/teaselcross/http/server.h
+++ b/src/teaselcross/http/server.h
@@ -65,6 +65,10 @@
     /// Sets the size and time limits for later requests. Host, port and connection limit are unchanged.
     auto set_limits(const server_options& limits) -> void;
 
+    /// Closes the connections before the process ends, so that the system goes on delivering what was written
+    /// on them: input that was not read would make it reset them instead.
+    auto hand_over_to_system() -> void;
+
     /// Closes the port and resets all connections immediately, as when the process is killed.
     auto abort() -> void;
 
--- a/src/teaselcross/http/server_linger.cpp
+++ b/src/teaselcross/http/server_linger.cpp
@@ -24,6 +24,8 @@
 constexpr auto check_interval_per_connection = duration{std::chrono::microseconds{500}};
 /// Least time between two measurements of all connections.
 constexpr auto measurement_interval = duration{std::chrono::milliseconds{50}};
+/// Bounds how long a client that goes on sending delays the end of the process.
+constexpr auto max_last_reads = 64;
 
 } // namespace
 
@@ -126,4 +128,18 @@
     }
 }
 
+auto http_server::hand_over_to_system() -> void {
+    for (const auto& each : open_sessions()) {
+        auto& link = *each->link;
+        if (!link.stream.socket().is_open()) {
+            continue;
+        }
+        link.end_writing();
+        for (auto reads = 0; reads < max_last_reads && link.discard_input(); ++reads) {
+        }
+        link.close();
+        link.stream.close();
+    }
+}
+
 } // namespace teaselcross
--- a/tests/http/many_slow_readers_test.cpp
+++ b/tests/http/many_slow_readers_test.cpp
@@ -139,6 +139,20 @@
     expect_all_whole(long_size);
 }
 
+// Guards against connections that are reset by the end of the process, as they have input that was not read.
+TEST_F(many_slow_readers_test, get_the_rest_from_the_system_after_the_process) {
+    start();
+    add_readers(6, last_request, reading_pace{});
+    for (const auto& each : m_readers) {
+        each->send_after(milliseconds{50}, request); // Stays unread.
+    }
+    run_for(milliseconds{200});
+    m_server->hand_over_to_system();
+    EXPECT_TRUE(run_until(
+        m_context, [this] { return m_server->connections() == 0; }, seconds{1}));
+    expect_all_whole();
+}
+
 // Guards against memory that is used up by clients that read nothing, and against responses that are dropped
 // for it while their clients wait.
 TEST_F(many_slow_readers_test, new_requests_are_refused_while_too_many_bytes_are_on_their_way) {
