Splits: nothing of one configuration's weights decides under the next

Cause: the smooth weighted round robin kept credits in units of the weights, by the rule's name and the place in the list, over all versions of the configuration. What earlier weights, another order or another list left behind outweighed the weights in force. The longest timeout of callers and the mean size of answers were kept by the rule's name as well, whatever the rule led to.

Change: a split keeps a uniform phase for each of its steps, which says nothing about weights or services: each choice has the probability of its weight under the version in force, a share is exact within a request over constant weights, and a weight of 0 is never chosen. Instances begin at random phases, so that their first choices together have the shares, too. What is learnt of a rule's requests is kept by host, path and kind, sizes of answers by service, and dropped with the rule.

--- a/src/libteaselcross/routing/route_table.cpp
+++ b/src/libteaselcross/routing/route_table.cpp
@@ -1,7 +1,5 @@
 #include "routing/route_table.h"
 
-#include <algorithm>
-
 namespace teaselcross {
 
 auto needs_account(const route_table& table, const route_rule& rule) -> bool {
@@ -27,20 +25,4 @@
     return best;
 }
 
-auto next_service(route_splitter& state, const route_rule& rule) -> const service_id& {
-    if (rule.services.size() == 1) {
-        return rule.services.front().service;
-    }
-    auto& credits = state.credits[rule.name];
-    credits.resize(rule.services.size());
-    auto total = std::int64_t{0};
-    for (std::size_t index = 0; index < credits.size(); ++index) {
-        credits[index] += rule.services[index].weight;
-        total += rule.services[index].weight;
-    }
-    const auto highest = std::max_element(credits.begin(), credits.end());
-    *highest -= total;
-    return rule.services[static_cast<std::size_t>(highest - credits.begin())].service;
-}
-
 } // namespace teaselcross
--- a/src/libteaselcross/routing/route_table.h
+++ b/src/libteaselcross/routing/route_table.h
@@ -81,12 +81,4 @@
 /// the table is not modified.
 auto find_route(const route_table& table, std::string_view host, std::string_view path) -> const route_rule*;
 
-/// State of the smooth weighted round robin over the services of a rule. Not thread safe.
-struct route_splitter {
-    std::map<std::string, std::vector<std::int64_t>> credits; ///< By rule name; one per service.
-};
-
-/// Returns the service for the next request of @a rule. Precondition: the rule has at least one service.
-auto next_service(route_splitter& state, const route_rule& rule) -> const service_id&;
-
 } // namespace teaselcross
--- a/src/teaselcross/gateway/request_context.h
+++ b/src/teaselcross/gateway/request_context.h
@@ -51,6 +51,7 @@
     responder* link = nullptr;                ///< Of the caller.
     std::shared_ptr<const route_table> table; ///< Keeps the rule alive when the configuration changes.
     const route_rule* rule = nullptr;
+    std::shared_ptr<rule_history> history; ///< Of the rule.
     platform::caller_request caller;
     const client_account* account =
         nullptr;            ///< Of the caller; null without accounts. Kept alive by the table.
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -340,7 +340,7 @@
     auto sent = false;
     if (answer.complete) {
         auto response = http_response{answer.header()};
-        record_answer_size(current.rule->name, answer.body.size());
+        record_answer_size(*current.history, *current.rule, current.service, answer.body.size());
         response.body() = std::move(answer.body);
         const auto reserved = std::move(answer.reserved); // Until the body is written.
         if (!current.is_head_request) {
@@ -373,12 +373,6 @@
     co_return sent;
 }
 
-auto request_router::record_answer_size(const std::string& rule, std::size_t bytes) -> void {
-    constexpr auto smoothing = 0.1; // Weight of the newest answer.
-    auto& mean = m_mean_answer_bytes[rule];
-    mean += (static_cast<double>(bytes) - mean) * smoothing;
-}
-
 /// Counts a response of this instance that is no answer of a target.
 auto request_router::count_refusal(const request_context& current, unsigned status) -> void {
     constexpr auto unauthorized = static_cast<unsigned>(http::status::unauthorized);
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -142,12 +142,13 @@
         return reason;
     }
     started.rank = rank_in_force(rule, started.account);
-    started.service = next_service(m_splitter, rule);
+    started.history = find_history(m_rule_histories, *started.table, started.caller.host, rule);
+    started.service = next_service(started.history->split, rule, m_random);
     started.policy = started.table->services.at(started.service);
     started.deadline = now + std::min(rule.timeout, started.caller.time_left.value_or(default_patience));
     started.objective = now + rule.objective;
     if (started.caller.time_left) {
-        auto& patience = m_patience[rule.name];
+        auto& patience = started.history->patience;
         started.was_refused_before = detect_retry(patience, *started.caller.time_left, {}, now);
         if (started.was_refused_before) {
             started.waited_before = waited_before(patience, *started.caller.time_left);
@@ -321,7 +322,7 @@
     const auto& candidates = m_cluster.candidates(current.service);
     auto context = choice_context{.own_data_centre = m_settings.data_centre, .tried_targets = current.tried};
     constexpr auto kilobyte = 1024.0;
-    const auto kilobytes = m_mean_answer_bytes[current.rule->name] / kilobyte;
+    const auto kilobytes = mean_answer_bytes(*current.history, current.service) / kilobyte;
     context.distance_cost = duration{
         static_cast<duration::rep>(kilobytes * static_cast<double>(cross_data_centre_kilobyte_cost.count()))};
     const auto to_objective = std::max(current.objective - now, duration::zero());
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -4,13 +4,13 @@
 
 #include "accounts/account_counts.h"
 #include "admission/gate.h"
-#include "admission/retry_detection.h"
 #include "delivery/retry_budget.h"
 #include "gateway/cluster_state.h"
 #include "gateway/load_sharing.h"
 #include "gateway/shortage_control.h"
 #include "http/server.h"
 #include "metrics/metrics.h"
+#include "routing/rule_history.h"
 
 #include <functional>
 #include <random>
@@ -138,7 +138,6 @@
         -> send_outcome;
     auto may_finish(const request_context& current, instant now) const -> bool;
     auto may_retry(request_context& current, const send_outcome& last, instant now) -> bool;
-    auto record_answer_size(const std::string& rule, std::size_t bytes) -> void;
     auto release_connection(const request_context& current, open_answer answer) -> void;
     auto send_answer(responder& link, request_context& current, open_answer answer)
         -> boost::asio::awaitable<bool>;
@@ -153,11 +152,8 @@
     boost::asio::any_io_executor m_executor;
     std::uint64_t m_own_hash; ///< Hash of the instance name; ranks targets when choosing a subset.
     connection_pool m_pool;
-    route_splitter m_splitter;
     std::map<service_id, retry_budget> m_budgets;
-    /// Mean answer size in bytes, exponentially smoothed, by rule.
-    std::map<std::string, double> m_mean_answer_bytes;
-    std::map<std::string, patience_window> m_patience; ///< By rule.
+    rule_histories m_rule_histories;
     std::map<service_id, lateness_estimate> m_lateness;
     shortage_control m_shortage;
     traffic_sample m_sample;
