Router: drop what was learnt of services and objectives that a version removes

Cause: the share of late answers was kept by service over all versions of the configuration. It was measured with the objectives of earlier versions and shortens the time that requests may take under the present one. It, the shortage levels and the retry budgets grew with each service that ever was.

Change: late answers count by service and objective. What belongs to services that the version in force does not have is dropped; a retry budget only when its window has passed, so that a service that is removed and comes back gets no second one.

--- a/src/libteaselcross/delivery/retry_budget.cpp
+++ b/src/libteaselcross/delivery/retry_budget.cpp
@@ -36,6 +36,13 @@
     return requests / std::chrono::duration<double>(options.window).count();
 }
 
+auto is_unused(retry_budget state, const retry_budget_options& options, instant now) -> bool {
+    advance(state, options, now);
+    const auto counts = std::accumulate(state.requests.begin(), state.requests.end(), 0U) +
+                        std::accumulate(state.extras.begin(), state.extras.end(), 0U);
+    return counts == 0;
+}
+
 auto take_extra(retry_budget& state, const retry_budget_options& options, std::size_t instances, instant now)
     -> bool {
     advance(state, options, now);
--- a/src/libteaselcross/delivery/retry_budget.h
+++ b/src/libteaselcross/delivery/retry_budget.h
@@ -32,6 +32,9 @@
 /// Requests per second over the window before @a now.
 auto request_rate(retry_budget& state, const retry_budget_options& options, instant now) -> double;
 
+/// Whether nothing was counted in the window before @a now, so that the state is that of a new budget.
+auto is_unused(retry_budget state, const retry_budget_options& options, instant now) -> bool;
+
 /// Takes one extra send if the budget allows it; otherwise returns false. The fixed part (`extra`) is
 /// divided evenly among @a instances; the ratio applies to the requests of this instance only, so uneven
 /// traffic doesn't exceed the common budget.
--- a/src/teaselcross/gateway/request_exchange.cpp
+++ b/src/teaselcross/gateway/request_exchange.cpp
@@ -109,7 +109,8 @@
     }
     const auto waited_for = end == attempt_result::answered || end == attempt_result::timed_out;
     if (waited_for && !current.was_refused_before) {
-        record_answer(m_lateness[current.service], now > current.objective);
+        record_answer(find_lateness(m_lateness, current.service, current.rule->objective),
+                      now > current.objective);
     }
     if (end == attempt_result::misdirected && outcome.fields.target != view.listed.id.value()) {
         // Another target has its address: the target has ended, even if it is still listed.
--- a/src/teaselcross/gateway/request_router.cpp
+++ b/src/teaselcross/gateway/request_router.cpp
@@ -121,6 +121,17 @@
         .ratio = m_settings.retry_ratio, .extra = m_settings.retry_extra, .window = m_settings.retry_window};
 }
 
+/// Drops the state of services that the configuration no longer has. A budget stays while it counts what was
+/// sent: a service that comes back gets no second one.
+auto request_router::drop_unknown_services(const route_table& table, instant now) -> void {
+    m_services_version = table.version;
+    drop_unknown(m_lateness, table);
+    m_shortage.drop_unknown(table);
+    std::erase_if(m_budgets, [&](const auto& entry) {
+        return !table.services.contains(entry.first) && is_unused(entry.second, budget_options(), now);
+    });
+}
+
 auto request_router::start_request(request_context& started, const http_request& request)
     -> std::optional<refusal> {
     const auto now = monotonic_now();
@@ -131,6 +142,9 @@
     if (started.table->version == 0) {
         return refusal::no_config;
     }
+    if (started.table->version != m_services_version) {
+        drop_unknown_services(*started.table, now);
+    }
     const auto target = std::string_view{request.target().data(), request.target().size()};
     started.rule = find_route(*started.table, started.caller.host, target.substr(0, target.find('?')));
     if (started.rule == nullptr) {
@@ -368,7 +382,8 @@
     // objective, up to its deadline, rather than refused.
     const auto objective = current.was_refused_before ? current.deadline : current.objective;
     const auto refused = check_admission(
-        view, {.deadline = current.deadline, .objective = objective}, m_lateness[current.service],
+        view, {.deadline = current.deadline, .objective = objective},
+        find_lateness(m_lateness, current.service, current.rule->objective),
         {.connection_limit = current.policy.connection_limit, .instances = m_cluster.fleet_size()}, now);
     if (refused) {
         current.retry_after = std::max(min_retry_after, *refused);
--- a/src/teaselcross/gateway/request_router.h
+++ b/src/teaselcross/gateway/request_router.h
@@ -3,13 +3,13 @@
 // Routes callers' requests to targets and returns the target's answer or a refusal.
 
 #include "accounts/account_counts.h"
-#include "admission/gate.h"
 #include "delivery/retry_budget.h"
 #include "gateway/cluster_state.h"
 #include "gateway/load_sharing.h"
 #include "gateway/shortage_control.h"
 #include "http/server.h"
 #include "metrics/metrics.h"
+#include "routing/answer_lateness.h"
 #include "routing/rule_history.h"
 
 #include <functional>
@@ -115,6 +115,7 @@
     enum class attempt_result;
 
     auto budget_options() const -> retry_budget_options;
+    auto drop_unknown_services(const route_table& table, instant now) -> void;
     auto start_request(request_context& started, const http_request& request) -> std::optional<refusal>;
     auto identify(request_context& started, const http_request& request) const -> std::optional<refusal>;
     auto route(request_context& current, http_request& request) -> boost::asio::awaitable<route_outcome>;
@@ -154,7 +155,8 @@
     connection_pool m_pool;
     std::map<service_id, retry_budget> m_budgets;
     rule_histories m_rule_histories;
-    std::map<service_id, lateness_estimate> m_lateness;
+    answer_lateness m_lateness;
+    std::uint64_t m_services_version = 0; ///< Version of the configuration whose services have state.
     shortage_control m_shortage;
     traffic_sample m_sample;
     account_counts m_refused_by_account;
--- a/src/teaselcross/gateway/shortage_control.cpp
+++ b/src/teaselcross/gateway/shortage_control.cpp
@@ -55,6 +55,10 @@
     }
 }
 
+auto shortage_control::drop_unknown(const route_table& table) -> void {
+    std::erase_if(m_services, [&](const auto& entry) { return !table.services.contains(entry.first); });
+}
+
 auto shortage_control::append_gauges(std::vector<gauge>& values) const -> void {
     for (const auto& [service, state] : m_services) {
         values.push_back({.name = "shortage_level", .kind = service.value(), .value = shortage_level(state)});
--- a/src/teaselcross/gateway/shortage_control.h
+++ b/src/teaselcross/gateway/shortage_control.h
@@ -4,6 +4,7 @@
 
 #include "admission/shortage.h"
 #include "metrics/metrics.h"
+#include "routing/route_table.h"
 
 #include <random>
 
@@ -38,6 +39,9 @@
     /// Logs the shortages that began or ended since the last call. To be called every second or more often.
     auto log_changes(instant now) -> void;
 
+    /// Drops the state of services that @a table does not have.
+    auto drop_unknown(const route_table& table) -> void;
+
     /// Appends the level of each service and the refusals of each rank.
     auto append_gauges(std::vector<gauge>& values) const -> void;
 
