--- a/src/libteaselcross/routing/rule_history.cpp
+++ b/src/libteaselcross/routing/rule_history.cpp
@@ -43,7 +43,7 @@
         return history;
     }
     history = std::make_shared<rule_history>();
-    const auto created = history; // The reference ends with the entry.
+    auto created = history; // The reference ends with the entry.
     if (state.by_rule.size() > count_rules(table)) {
         drop_others(state, table);
     }
